Outlive SIGHUP; take only a whole, final answer for one

Ruled out by probing httptools 0.9: both length headers, repeated, signed or overflowing lengths, bare LF and folded headers are refused by the parser already and were never served. A report that can't become a float was not met (orjson refuses what float() would), so it is guarded, not counted as a cause. Cause: __main__ had no SIGHUP handler. http.ClientConnection.on_message_complete took a 1xx for the answer, and finish() read the status from a parser that had gone on to the bytes behind it. A spoilt answer on an open connection was waited for until the deadline, in flight all the while; a head without end was not counted. Changed: SIGHUP re-reads the file and asks the new discovery for its whole list (the file holds then, not the environment of the start); the status is kept with the head; raw bytes, declared length and a stall of 0.5 s within an answer end the attempt as a reset.

--- a/zinclever/__main__.py
+++ b/zinclever/__main__.py
@@ -78,6 +78,30 @@
         raise ConfigError(f"LB_CONFIG: {path}: {wrong}") from wrong
 
 
+class Reload:
+    """What a SIGHUP does: the file is read again, and what differs from before is put into service."""
+
+    def __init__(self, config: Config, sidecar: Sidecar) -> None:
+        self.config, self.sidecar = config, sidecar
+
+    def __call__(self) -> None:
+        """A file that can't be read or used is logged, and what holds goes on.
+
+        The environment is that of the start and can't have changed since: here the file comes first.
+        """
+        env = {"LB_CONFIG": os.environ.get("LB_CONFIG", "")}
+        try:
+            config = read_config(env)
+        except ConfigError as wrong:
+            log.error("configuration not reloaded: %s", wrong)
+            return
+        before, self.config = self.config, config
+        if config.discovery != self.sidecar.discovery.address:
+            self.sidecar.move_discovery(config.discovery)
+        if (config.listen, config.sockets) != (before.listen, before.sockets):
+            log.warning("configuration: listen and limits take effect at the next start only")
+
+
 async def serve(config: Config) -> None:
     """Serve until SIGTERM or SIGINT, then finish what is held."""
     loop = asyncio.get_running_loop()
@@ -86,6 +110,7 @@
         loop.add_signal_handler(number, stopped.set)
     balancer = Balancer(config.settings, config.seed)
     sidecar = Sidecar(balancer, config.zones, config.sockets, config.discovery)
+    loop.add_signal_handler(signal.SIGHUP, Reload(config, sidecar))
     front = Front(sidecar)
     server = await loop.create_server(lambda: ServerConnection(front), *config.listen, backlog=BACKLOG)
     sidecar.start(config.known)
--- a/zinclever/net/discovery.py
+++ b/zinclever/net/discovery.py
@@ -17,6 +17,7 @@
 PATH = "/catalog/members"
 WATCH = 20000.0  # ms that a watch waits for changes
 CALL = 3000.0  # ms to wait for an answer beyond what the call itself may wait
+MOST_LIST = 4 << 20  # bytes: some ten thousand entries
 AGAIN = 500.0  # ms between two tries where lists are pushed and the balancer doesn't ask
 PHASES: dict[str, i.Phase] = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 
@@ -69,7 +70,7 @@
 
     async def connect(self, data: bytes) -> None:
         try:
-            connection = await dial(self.address, self.timeout, lambda c: None, self.lost)
+            connection = await dial(self.address, self.timeout, lambda c: None, self.lost, MOST_LIST)
         except OSError:
             self.task = None
             self.end(None)
@@ -118,11 +119,25 @@
 
     def __init__(self, address: Address, connect_timeout: float, pushed: bool,
                  on_list: Callable[[i.ListKind, list[dict[str, Any]]], None]) -> None:
-        self.on_list, self.pushed = on_list, pushed
-        self.watch_call = Call(address, connect_timeout, self.watched)
-        self.fetch_call = Call(address, connect_timeout, self.fetched)
+        self.on_list, self.pushed, self.connect_timeout = on_list, pushed, connect_timeout
         self.version: int | None = None
         self.watching = False
+        self.connect(address)
+
+    def connect(self, address: Address) -> None:
+        self.address = address
+        self.watch_call = Call(address, self.connect_timeout, self.watched)
+        self.fetch_call = Call(address, self.connect_timeout, self.fetched)
+
+    def move(self, address: Address) -> None:
+        """Ask another service from now on: the whole list at once, as its versions are its own.
+
+        What the old one may still answer is not heard: its calls are given up with their connections.
+        """
+        self.stop()
+        self.connect(address)
+        self.version = None
+        self.watch(True)
 
     def start(self, version: int | None) -> None:
         """Begin from a list that is known already, if any."""
--- a/zinclever/net/http.py
+++ b/zinclever/net/http.py
@@ -24,7 +24,10 @@
         b"proxy-authorization", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     }
 )
-MOST_BYTES = 1 << 20  # of a reply: a server gone astray must not fill the memory
+MOST_BODY = 64 * 1024  # as the protocol bounds it, either way
+MOST_HEAD = 32 * 1024
+MOST_BYTES = 8 * MOST_HEAD  # of an answer beyond its body: head, sizes of chunks, 1xx answers ahead
+STALL = 0.5  # s from an answer's first byte to its last: a server writes it at once, and what stops is spoilt
 
 
 class Reply(NamedTuple):
@@ -58,8 +61,14 @@
 
 
 def end_to_end(headers: Headers, *more: bytes) -> bytes:
-    """Header lines that a proxy passes on: all but those of the connection, and but ``more``."""
+    """Header lines that a proxy passes on: all but those of the connection, and but ``more``.
+
+    A header that ``Connection`` names is of the connection too.
+    """
     left_out = OWN_HEADERS.union(more)
+    for name, value in headers:
+        if name.lower() == b"connection":
+            left_out = left_out.union(part.strip().lower() for part in value.split(b","))
     return b"".join(b"%b: %b\r\n" % (k, v) for k, v in headers if k.lower() not in left_out)
 
 
@@ -67,9 +76,11 @@
     """One connection to a server. The owner sees to it that only one request is out on it."""
 
     def __init__(self, sock: socket.socket, on_free: Callable[[ClientConnection], None],
-                 on_lost: Callable[[ClientConnection], None]) -> None:
-        self.sock, self.on_free, self.on_lost = sock, on_free, on_lost
+                 on_lost: Callable[[ClientConnection], None], most_body: int = MOST_BODY) -> None:
+        self.sock, self.on_free, self.on_lost, self.most_body = sock, on_free, on_lost, most_body
+        self.parser = httptools.HttpResponseParser(self)
         self.done: Done | None = None
+        self.stall: asyncio.TimerHandle | None = None
         self.unsent = self.lost = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -95,11 +106,8 @@
     def request(self, data: bytes, done: Done) -> None:
         """Write one request; ``done`` is called once, unless the exchange is aborted before."""
         self.done = done
-        self.parser = httptools.HttpResponseParser(self)
-        self.headers: Headers = []
-        self.body: list[bytes] = []
-        self.size = 0
-        self.complete = self.keep = False
+        self.received = 0  # raw bytes: guards against a head without end, which the parser holds back
+        self.begun = self.complete = self.keep = False
         self.unsent = True
         try:
             written = self.sock.send(data)
@@ -124,6 +132,7 @@
         socket only in the loop's next round, and until then a repeat would count as a second copy.
         """
         self.done = None
+        self.stop_stall()
         if not self.lost:
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
@@ -133,22 +142,33 @@
         if self.done is None:
             self.abort()
             return
+        self.received += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.keep = False
             if not self.complete:
-                self.transport.abort()
+                self.spoilt()
                 return
         if self.complete:
             self.finish()
-        elif self.size > MOST_BYTES:
-            self.transport.abort()
+        elif self.received > MOST_BYTES + self.most_body:
+            self.spoilt()
+        elif self.begun and self.stall is None:
+            self.stall = asyncio.get_running_loop().call_later(STALL, self.spoilt)
+
+    def spoilt(self) -> None:
+        """What comes is no answer, or too much of one: the request may have run."""
+        done = self.done
+        self.abort()
+        if done is not None:
+            done(Broken(self.unsent))
 
     def finish(self) -> None:
         """Hand the answer over; the connection is free before, so that what follows may use it."""
         done, self.done = self.done, None
-        reply = Reply(self.parser.get_status_code(), self.headers, b"".join(self.body))
+        self.stop_stall()
+        reply = Reply(self.status, self.headers, b"".join(self.body))
         if self.keep and not self.unsent:
             self.on_free(self)
         else:
@@ -156,11 +176,18 @@
         if done is not None:
             done(reply)
 
+    def stop_stall(self) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
+
     def eof_received(self) -> bool:
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
+        self.stop_stall()
+        del self.parser  # which refers back
         self.on_lost(self)
         done, self.done = self.done, None
         if done is not None:
@@ -171,24 +198,47 @@
     def on_message_begin(self) -> None:
         if self.complete:  # bytes beyond the answer
             self.keep = False
+            return
+        self.begun = True
+        self.headers: Headers = []
+        self.body: list[bytes] = []
+        self.size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.size += len(name) + len(value)
         if not self.complete:
             self.headers.append((name, value))
+            self.size += len(name) + len(value)
+            if self.size > MOST_HEAD:
+                raise ValueError("head too long")
+
+    def on_headers_complete(self) -> None:
+        """The status is read here: guards against that of a message beyond the answer."""
+        if not self.complete:
+            self.status = self.parser.get_status_code()
+            self.size = 0
+            length = next((v for k, v in self.headers if k.lower() == b"content-length"), b"0")
+            if int(length) > self.most_body:
+                raise ValueError("body too long")
 
     def on_body(self, body: bytes) -> None:
-        self.size += len(body)
         if not self.complete:
             self.body.append(body)
+            self.size += len(body)
+            if self.size > self.most_body:
+                raise ValueError("body too long")
 
     def on_message_complete(self) -> None:
-        self.keep = not self.complete and self.parser.should_keep_alive()
-        self.complete = True
+        if self.complete:
+            self.keep = False
+        elif self.status < 200:
+            self.begun = False  # an interim answer: the final one is still to come
+        else:
+            self.keep = self.parser.should_keep_alive()
+            self.complete = True
 
 
 async def dial(address: Address, timeout: float, on_free: Callable[[ClientConnection], None],
-               on_lost: Callable[[ClientConnection], None]) -> ClientConnection:
+               on_lost: Callable[[ClientConnection], None], most_body: int = MOST_BODY) -> ClientConnection:
     """A new connection, within ``timeout`` seconds; OSError (time-outs are one) where there is none."""
     loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -197,7 +247,7 @@
         async with asyncio.timeout(timeout):
             await loop.sock_connect(sock, address)
         _, connection = await loop.create_connection(
-            lambda: ClientConnection(sock, on_free, on_lost), sock=sock
+            lambda: ClientConnection(sock, on_free, on_lost, most_body), sock=sock
         )
     except BaseException:
         sock.close()
--- a/zinclever/net/sidecar.py
+++ b/zinclever/net/sidecar.py
@@ -21,6 +21,7 @@
 
 EARLY = 15.0  # ms before the client's deadline at which the balancer takes it to pass
 GUARD = 8.0  # ms before the deadline at which a request is answered whatever happens
+MOST_LOAD = 1e6  # in a load report: no endpoint holds or serves more, and no figure is below 0
 RESERVED = 64  # descriptors for the listener, discovery, the loop and what the runtime opens
 
 
@@ -210,7 +211,11 @@
         if request is not None and request.answer is not None:
             reply = request.answer
             self.close(request)
-            reply(answer)
+            try:
+                reply(answer)
+            except Exception:
+                # Guards the events that follow: an attempt whose end is not told counts in flight for ever.
+                log.exception("answer not written")
 
     def close(self, request: Request) -> None:
         request.answer = None
@@ -275,12 +280,12 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         request.live -= 1
+        report = read_report(reply) if reply is not None else {}
         if outcome == "served" and reply is not None and request.answer is not None:
             headers = end_to_end(reply.headers, b"srv-load")
             self.finish(request.told.id, Answer(200, headers, reply.body))
         complete = request.answer is None
         self.settled.append(request)
-        report = read_report(reply) if reply is not None else {}
         self.feed(
             i.AttemptEnded(
                 request.told.id, attempt.number, attempt.endpoint, outcome, elapsed, complete, report
@@ -300,6 +305,10 @@
         else:
             self.feed(i.TimerFired(action.token))
 
+    def move_discovery(self, address: Address) -> None:
+        """Discovery is found elsewhere from now on; requests and endpoints are untouched."""
+        self.discovery.move(address)
+
     def stop(self) -> None:
         self.discovery.stop()
         self.endpoints.close()
@@ -316,7 +325,8 @@
         return {}
     if not isinstance(told, dict):
         return {}
-    return {k: float(v) for k, v in told.items() if isinstance(v, int | float)}
+    # Comparisons, as a number too large for a float would raise where it is made one.
+    return {k: float(v) for k, v in told.items() if type(v) in (int, float) and 0 <= v <= MOST_LOAD}
 
 
 def request_head(method: str, target: str, headers: Headers, body: bytes) -> bytes:
