Share out the descriptors; bound what a client may hold, in time and bytes

Ruled out: crash, memory (17 of 64 MB), endpoints (few errors, 0.2 attempts a request: they were not asked). Cause: server.Front.joined closed an idle client only when nothing of the endpoints' was idle, and then any one; nothing ended a silent connection, half a request or a kept connection that is never used again. Changed: every connection is in one state with its time; a request has 2.4 s to be whole; clients get half of the descriptors; rejected, silent and longest idle ones go first, idle ones after 2 s while there are many, and only if the kernel holds nothing of theirs; raw bytes are counted; pipelined requests wait in order, 8 at most, with reading paused; a client that doesn't read gets no further request begun and 5 s; waits are cut to the class's deadline; 64 -> 40 descriptors kept back (17 are in use).

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Iterable
 
 import pytest
 from helpers import RULES
-from loopback import closed_port, known, read_message, run, sidecar
+from loopback import always, closed_port, known, read_message, response, run, serving, sidecar
+from test_sidecar import send_to
 
 from zinclever import interface as i
+from zinclever.net import http, server
+from zinclever.net.sidecar import RESERVED
 
 
 def refuse_all(event: i.Event) -> Iterable[i.Action]:
@@ -62,8 +67,8 @@
 
 
 @pytest.mark.parametrize("at_once", [True, False])
-def test_pipelined_request_is_not_taken(at_once: bool) -> None:
-    """Guards against losing the first request for what the client sent after it, or mixing their answers."""
+def test_pipelined_requests_are_served_in_order(at_once: bool) -> None:
+    """Guards against losing a request for what came before or behind it, and against mixing their answers."""
 
     async def test() -> None:
         asked = asyncio.Event()
@@ -71,23 +76,160 @@
         def react(event: i.Event) -> Iterable[i.Action]:
             if isinstance(event, i.RequestArrived):
                 asked.set()
-                yield i.SetTimer(event.deadline - 4700.0, "later")
+                if event.request != "r1":
+                    yield i.Refuse(event.request, 1000.0 * int(event.request[1:]))
             elif isinstance(event, i.TimerFired):
-                yield i.Refuse("r1")
+                yield i.Refuse("r1", 1000.0)
 
         async with sidecar(react, known(e=closed_port())) as s:
             c = await s.client()
-            second = GOOD.replace(b"r1", b"r2")
-            if at_once:
-                c.writer.write(GOOD + second)
-            else:
-                c.writer.write(GOOD)
-                await asked.wait()
-                c.writer.write(second)
-            assert (await c.answer()).status == 503
+            behind = b"".join(GOOD.replace(b"r1", b"r%d" % n) for n in range(2, 6)) + b"no request\r\n\r\n"
+            c.writer.write(GOOD + behind if at_once else GOOD)
+            await asked.wait()
+            if not at_once:
+                c.writer.write(behind)
+            other = await s.client()
+            assert (await other.ask("/_health")).status == 200  # what was sent before has been read
+            assert len([e for _, e in s.balancer.told if isinstance(e, i.RequestArrived)]) == 1
+            s.sidecar.feed(i.TimerFired("x"))
+            for n in range(1, 6):
+                got = await c.answer()
+                assert got.status == 503 and float(got.headers["retry-after"]) == n
             last = await c.answer()
             assert last.status == 400 and last.headers["connection"] == "close"
-            assert len([e for _, e in s.balancer.told if isinstance(e, i.RequestArrived)]) == 1
+
+    run(test)
+
+
+def test_pipelined_requests_are_few() -> None:
+    """Guards against a client that sends hundreds at once: what is held for it is bounded."""
+
+    async def test() -> None:
+        async with sidecar(lambda event: (), known(e=closed_port())) as s:
+            c = await s.client()
+            c.writer.write(b"".join(GOOD.replace(b"r1", b"r%d" % n) for n in range(1, 300)))
+            await s.balancer.until(lambda: len(s.balancer.told) == 2)
+            one, = s.front.since[server.State.BUSY]
+            assert len(one.queue) == server.PIPELINED and one.rejected == 400
+
+    run(test)
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"", 0),
+    (b"GET /read HT", 408),
+    (b"GET /read HTTP/1.1\r\nHost: x\r\nReq-Id", 408),
+    (head("POST /tip HTTP/1.1", "Req-Id: r", "Req-Deadline: 5", "Content-Length: 9") + b"abc", 408),
+])
+def test_slow_request_ends(data: bytes, status: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections that are held for ever by who never sends a whole request; a kept
+    connection of a client that has been served is no such."""
+    monkeypatch.setattr(server, "READ_FOR", 0.3)
+
+    async def test() -> None:
+        async with sidecar(refuse_all, known(e=closed_port())) as s:
+            kept, slow = await s.client(), await s.client()
+            assert (await kept.ask()).status == 503
+            slow.writer.write(data)
+            if status:
+                assert (await slow.answer()).status == status
+            assert await read_message(slow.reader) is None
+            assert (await kept.ask(Req_Id="r2")).status == 503
+
+    run(test)
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"GET /read HTTP/1.1\r\nX-Fill: " + b"x" * 2 * http.MOST_HEAD, 431),
+    (b"GET /" + b"x" * 2 * http.MOST_HEAD, 431),
+    (head("POST /tip HTTP/1.1", "Req-Id: r", "Req-Deadline: 5", "Content-Length: 60000000"), 413),
+    (head("POST /tip HTTP/1.1", "Transfer-Encoding: chunked") + b"1;" + b"x" * 2 * server.MOST_CHUNKED, 413),
+    (head("POST /tip HTTP/1.1", "Content-Length: 5", "Transfer-Encoding: chunked") + b"0\r\n\r\n", 400),
+    (head("POST /tip HTTP/1.1", "Content-Length: 5", "Content-Length: 5") + b"abcde", 400),
+    (head("POST /tip HTTP/1.1", "Content-Length: +5") + b"abcde", 400),
+    (b"GET /read HTTP/1.1\nReq-Id: r\nReq-Deadline: 5\n\n", 400),
+    (head("GET /read HTTP/1.1", "Req-Id: r", "Req-Deadline: 5", "X: y", " folded"), 400),
+    (head("GET /read HTTP/2.0", "Req-Id: r", "Req-Deadline: 5"), 505),
+    (head("GET /read HTTP/1.1", "Req-Id: r", "Req-Deadline: 1_0"), 400),
+])
+def test_what_cannot_be_framed_is_rejected_before_its_end(data: bytes, status: int) -> None:
+    """Guards against holding, or passing on, a request whose end is in doubt or far away."""
+
+    async def test() -> None:
+        async with sidecar(refuse_all, known(e=closed_port())) as s:
+            c = await s.client()
+            c.writer.write(data)
+            assert (await c.answer()).status == status
+            assert not any(isinstance(e, i.RequestArrived) for _, e in s.balancer.told)
+
+    run(test)
+
+
+def test_idle_connections_end_longest_idle_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections kept for good by clients that ask once; a request that has come in
+    meanwhile, unread, keeps its connection."""
+    monkeypatch.setattr(server, "IDLE_AT_LEAST", 0.0)
+    monkeypatch.setattr(server, "SWEEP", 1000.0)
+
+    async def test() -> None:
+        async with sidecar(refuse_all, known(e=closed_port()), sockets=4 * 2) as s:
+            clients = [await s.client() for _ in range(4)]
+            for n in (2, 1, 0, 3):
+                assert (await clients[n].ask(Req_Id=f"r{n}")).status == 503
+            raw = clients[1].writer.get_extra_info("socket")
+            raw = socket.fromfd(raw.fileno(), socket.AF_INET, socket.SOCK_STREAM)
+            raw.send(GOOD)
+            raw.close()
+            s.front.sweep()  # down to two: the longest idle one, then the one after the one that asks
+            assert (await clients[1].answer()).status == 503
+            assert await read_message(clients[2].reader) is None
+            assert await read_message(clients[0].reader) is None
+            assert (await clients[3].ask(Req_Id="r9")).status == 503
+
+    run(test)
+
+
+def test_silent_clients_by_hundreds_leave_room() -> None:
+    """Guards against running out of descriptors: who connects and says nothing is closed first."""
+
+    async def test() -> None:
+        async with sidecar(refuse_all, known(e=closed_port()), sockets=128) as s:
+            first = await s.client()
+            assert (await first.ask(Req_Id="r0")).status == 503
+            for n in range(6):
+                silent = [await s.client() for _ in range(50)]
+                assert s.front.count() <= 64 + 50
+                usual = await s.client()
+                assert (await usual.ask(Req_Id=f"u{n}")).status == 503
+                assert silent
+                await asyncio.sleep(2 * server.FRESH)
+            assert (await first.ask(Req_Id="r1")).status == 503
+            assert s.front.count() <= 64
+
+    run(test)
+
+
+def test_client_that_does_not_read_is_not_buffered_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against answers that pile up for a client that sends on and never reads."""
+    monkeypatch.setattr(server, "WRITE_FOR", 0.5)
+    page = b"x" * http.MOST_BODY
+
+    async def test() -> None:
+        async with serving(always(response(200, page))) as (_, at), sidecar(send_to("e"), known(e=at)) as s:
+            c = await s.client()
+            many = b"".join(GOOD.replace(b"r1", b"r%d" % n) for n in range(server.PIPELINED))
+            with contextlib.suppress(ConnectionError):
+                for n in range(100):
+                    c.writer.write(many.replace(b"Req-Id: r", b"Req-Id: %d-" % n))
+                    await c.writer.drain()
+                    await asyncio.sleep(0.02)
+                    if not s.front.count():
+                        break
+                    one, = (c for state in s.front.since.values() for c in state)
+                    if not one.ending:
+                        assert one.transport.get_write_buffer_size() <= 2 * len(page) + 4096
+            while s.front.count():
+                await asyncio.sleep(0.02)
 
     run(test)
 
@@ -116,7 +258,7 @@
                 await asyncio.sleep(0)
             assert (await c.answer()).status == 503
             assert (await c.ask(Req_Id="r2")).status == 503
-            assert len(s.front.connections) == 1
+            assert s.front.count() == 1
 
     run(test)
 
@@ -155,7 +297,7 @@
             if isinstance(event, i.TimerFired):
                 yield i.Refuse("busy")
 
-        async with sidecar(react, known(e=closed_port()), sockets=64 + 3) as s:
+        async with sidecar(react, known(e=closed_port()), sockets=RESERVED + 3) as s:
             busy, idle = await s.client(), await s.client()
             busy.send(Req_Id="busy")
             await s.balancer.until(lambda: len(s.balancer.told) == 2)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -25,6 +25,7 @@
 )
 
 from zinclever import interface as i
+from zinclever.net.sidecar import RESERVED
 
 
 def send_to(*endpoints: str, expires: float = 0.0) -> Reaction:
@@ -372,7 +373,7 @@
         async with (
             serving(always(response())) as (a, at_a),
             serving(silence) as (b, at_b),
-            sidecar(send_to("a"), known(a=at_a, b=at_b), sockets=64 + 4) as s,
+            sidecar(send_to("a"), known(a=at_a, b=at_b), sockets=RESERVED + 4) as s,
         ):
             one, two = await s.client(), await s.client()
             assert (await one.ask()).status == 200
--- a/zinclever/__main__.py
+++ b/zinclever/__main__.py
@@ -133,6 +133,7 @@
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(HELD_FOR):
             await front.all_left()
+    front.stop()
     front.sidecar.stop()
 
 
--- a/zinclever/net/server.py
+++ b/zinclever/net/server.py
@@ -3,24 +3,38 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import http
-import itertools
 import logging
 import math
-from typing import cast
+import re
+import select
+from collections import deque
+from typing import NamedTuple, cast
 
 import httptools
 
-from .http import Headers
+from .http import MOST_BODY, MOST_HEAD, Headers
 from .sidecar import Answer, Incoming, Sidecar, request_head
 
 log = logging.getLogger(__name__)
 
 HEALTH = "/_health"
-MOST_BODY = 64 * 1024
-MOST_HEAD = 32 * 1024
+VERSIONS = ("1.1", "1.0")
+MOST_CHUNKED = 4 * MOST_BODY  # raw bytes of a body with the sizes of its chunks
+PIPELINED = 8  # whole requests that may wait behind the one that is out; ordinary clients send one at a time
+SHARE = 2  # clients get one part in so many of the descriptors: a third for requests, the rest idle or bad
+EASY = 4  # one part in so many, up to which idle connections are not hurried
+READ_FOR = 2.4  # s from connecting, or from its first byte, in which a request has to be whole
+IDLE_FOR = 30.0  # s that a connection may be idle while there are few
+IDLE_AT_LEAST = 2.0  # s that a connection may be idle while there are many
+WRITE_FOR = 5.0  # s in which a client has to go on reading its answer
 LINGER = 1.0  # s in which the rest of a rejected request is read and dropped, so that its answer arrives
+LINGER_BYTES = 4 * MOST_BODY  # that are read so at most: the rest is left to the kernel, which resets
+FRESH = 0.1  # s after connecting in which a client is about to send: others make room first
+SWEEP = 0.2  # s between two looks at who has been too slow
 REASONS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
+NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
 
 
 class Rejected(Exception):
@@ -30,49 +44,121 @@
         self.status = status
 
 
+class State(enum.Enum):
+    """What a connection waits for."""
+
+    READING = "a whole request"
+    BUSY = "an answer from the sidecar"
+    WRITING = "its client to read the answer"
+    IDLE = "the next request"
+    LINGERING = "its client to read a rejection"
+    CLOSING = "its end"
+
+
 class Front:
-    """What the connections share: the sidecar, the settings as names, who is connected."""
+    """What the connections share: the sidecar, the settings as names, who is connected and since when."""
 
     def __init__(self, sidecar: Sidecar) -> None:
         self.sidecar = sidecar
+        self.loop = asyncio.get_running_loop()
         settings = sidecar.settings
         self.classes = {c.name: n for n, c in enumerate(settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(settings.tenants)}
         self.keyed = [c.repeat == "deduplicated" for c in settings.classes]
-        self.connections: set[ServerConnection] = set()
+        self.waits = [c.deadline for c in settings.classes]
+        self.most = max(1, sidecar.sockets // SHARE)
+        self.easy = sidecar.sockets // EASY
+        self.since: dict[State, dict[ServerConnection, float]] = {state: {} for state in State}
+        """The connections in each state, those longest in it first."""
+        self.sweeper: asyncio.TimerHandle | None = None
         self.draining = False
         self.empty = asyncio.Event()  # set once the last connection has ended while draining
 
+    def count(self) -> int:
+        return self.sidecar.endpoints.clients
+
     def joined(self, connection: ServerConnection) -> None:
         """A client has connected: its descriptor comes out of what endpoints may use.
 
-        Where none of theirs is idle, that of a client is freed: without descriptors, new connections would
-        be dropped with the requests on them.
+        Guards against running out of descriptors: beyond the clients' share, or where no connection to an
+        endpoint is idle, one of theirs is closed, and it is the new one if all the others are in use.
         """
         endpoints = self.sidecar.endpoints
         endpoints.clients += 1
-        if endpoints.full() and not endpoints.evict():
-            self.close_idle(most=1)
-        self.connections.add(connection)
+        self.since[State.READING][connection] = self.loop.time()
+        if endpoints.clients > self.most or (endpoints.full() and not endpoints.evict()):
+            self.make_room(connection)
+        if self.sweeper is None:
+            self.sweeper = self.loop.call_later(SWEEP, self.sweep)
 
     def left(self, connection: ServerConnection) -> None:
-        self.connections.discard(connection)
+        self.since[connection.state].pop(connection, None)
         self.sidecar.endpoints.clients -= 1
-        if not self.connections:
+        if not self.count():
             self.empty.set()
 
+    def enter(self, connection: ServerConnection, state: State) -> None:
+        del self.since[connection.state][connection]
+        connection.state = state
+        self.since[state][connection] = self.loop.time()
+
+    def make_room(self, newcomer: ServerConnection) -> None:
+        """Close the connection that is missed least: the new one only where it goes beyond the share."""
+        for connection in self.since[State.LINGERING]:
+            connection.drop()
+            return
+        for connection, since in self.since[State.READING].items():
+            if since + FRESH > self.loop.time():
+                break
+            connection.drop()
+            return
+        for connection in self.since[State.IDLE]:
+            if connection.close_idle():
+                return
+        if self.count() > self.most:
+            newcomer.drop()
+
+    def sweep(self) -> None:
+        """End what has taken too long, those that have waited longest first."""
+        self.sweeper = self.loop.call_later(SWEEP, self.sweep) if self.count() else None
+        for connection in self.overdue(State.READING, READ_FOR):
+            connection.too_slow()
+        for state in (State.WRITING, State.LINGERING, State.CLOSING):
+            for connection in self.overdue(state, LINGER if state is State.LINGERING else WRITE_FOR):
+                connection.drop()
+        many = self.count() - self.easy
+        for connection in self.overdue(State.IDLE, IDLE_AT_LEAST):
+            if many <= 0:
+                break
+            many -= connection.close_idle()
+        for connection in self.overdue(State.IDLE, IDLE_FOR):
+            connection.close_idle()
+
+    def overdue(self, state: State, limit: float) -> list[ServerConnection]:
+        due = self.loop.time() - limit
+        found: list[ServerConnection] = []
+        for connection, since in self.since[state].items():
+            if since > due:
+                break
+            found.append(connection)
+        return found
+
     async def all_left(self) -> None:
         """Wait until no client is connected."""
-        while self.connections:
+        while self.count():
             self.empty.clear()
             await self.empty.wait()
 
-    def close_idle(self, most: int | None = None) -> None:
-        """Close connections between requests: all of them at the end, or as many as are needed."""
-        idle = (c for c in self.connections if c.request_id is None and not (c.started or c.ending))
-        for connection in list(itertools.islice(idle, most)):
-            connection.ending = True
-            connection.transport.close()
+    def close_idle(self) -> None:
+        """Close all connections between requests, at the end."""
+        for state in (State.IDLE, State.READING):
+            for connection in list(self.since[state]):
+                connection.close_idle()
+
+    def stop(self) -> None:
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+            self.sweeper = None
 
     def read(self, method: str, target: str, headers: Headers, body: bytes) -> Incoming:
         """A request, checked: guards against the balancer being fed what it can't answer rightly."""
@@ -96,7 +182,7 @@
             klass=klass,
             tenant=self.tenants.get(owner, 0),
             key=cookie(named.get(b"cookie", b""), b"key"),
-            wait=1000.0 * number(named.get(b"req-deadline")),
+            wait=min(1000.0 * number(named.get(b"req-deadline")), self.waits[klass]),
             work=number(named[b"req-cost"]) / 1000.0 if b"req-cost" in named else 0.0,  # from µs
             retry=named.get(b"req-retry") == b"1",
             head=request_head(method, target, headers, body),
@@ -106,11 +192,8 @@
 
 def number(text: bytes | None) -> float:
     """A finite number above 0, or a rejection."""
-    try:
-        value = float(text or b"")
-    except ValueError:
-        raise Rejected(400) from None
-    if not 0.0 < value < math.inf:
+    value = float(text) if text and NUMBER.fullmatch(text) else math.nan
+    if not value > 0.0:
         raise Rejected(400)
     return value
 
@@ -123,18 +206,35 @@
     return ""
 
 
+class Whole(NamedTuple):
+    """A request that has come in whole, not checked yet."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    keep: bool
+    at: float
+    """When it was whole, on the loop's clock: its client's deadline counts from then."""
+
+
 class ServerConnection(asyncio.Protocol):
-    """One connection of the application: one request at a time."""
+    """One connection of the application: its requests are served one after another."""
 
     transport: asyncio.Transport
 
     def __init__(self, front: Front) -> None:
         self.front = front
+        self.state = State.READING
         self.request_id: str | None = None  # of the request that is owed its answer
+        self.keep = True  # the request that is out leaves the connection open
         self.started = False  # a request has begun to come in
-        self.completed = False  # and one was whole within the data that is being parsed
-        self.pipelined = False  # more came before the answer
+        self.queue: deque[Whole] = deque()  # whole requests behind the one that is out
+        self.rejected = 0  # status for what came after them and is no request
         self.ending = False  # what still comes is dropped
+        self.paused = False  # the client doesn't read its answers
+        self.raw = 0  # bytes since the last whole request
+        self.in_body = False
         self.parser = httptools.HttpRequestParser(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -144,16 +244,17 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.ending = True
         self.front.left(self)
+        self.queue.clear()
+        del self.parser  # which refers back
         if self.request_id is not None:
             self.front.sidecar.leave(self.request_id)
 
     def data_received(self, data: bytes) -> None:
+        self.raw += len(data)
         if self.ending:
+            if self.raw > LINGER_BYTES:
+                self.transport.pause_reading()
             return
-        if self.request_id is not None:
-            self.pipelined = True
-            return
-        self.completed = False
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError as wrong:
@@ -164,14 +265,25 @@
                 log.error("request not taken", exc_info=cause)
                 self.reject(500)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.reject(400)
+            if self.keep:  # else what comes behind the last request is of no interest
+                self.reject(400)
+        else:
+            self.check_progress()
+
+    def check_progress(self) -> None:
+        """Bound what is held of a request that is not whole: the parser keeps a header until its end."""
+        if self.started and self.raw > (MOST_CHUNKED if self.in_body else MOST_HEAD):
+            self.reject(413 if self.in_body else 431)
+        elif self.started and self.state is State.IDLE:
+            self.front.enter(self, State.READING)
+        elif self.queue and not self.ending:
+            self.transport.pause_reading()
 
     # --- the parser's callbacks ---
 
     def on_message_begin(self) -> None:
-        if self.completed:
-            raise Rejected(400)
         self.started = True
+        self.in_body = False
         self.url, self.body = b"", b""
         self.headers: Headers = []
         self.size = 0
@@ -190,11 +302,14 @@
             raise Rejected(431)
 
     def on_headers_complete(self) -> None:
+        self.in_body = True
+        if self.parser.get_http_version() not in VERSIONS:
+            raise Rejected(505)
         for name, value in self.headers:
             low = name.lower()
             if low == b"content-length" and int(value) > MOST_BODY:
                 raise Rejected(413)
-            if low == b"expect" and value.lower() == b"100-continue":
+            if low == b"expect" and value.lower() == b"100-continue" and self.state is not State.BUSY:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -203,39 +318,118 @@
             raise Rejected(413)
 
     def on_message_complete(self) -> None:
-        self.started, self.completed = False, True
-        self.keep = self.parser.should_keep_alive()
-        method = self.parser.get_method().decode("latin-1")
-        target = self.url.decode("latin-1")
-        if method == "GET" and target == HEALTH:
+        self.started, self.raw = False, 0
+        whole = Whole(
+            self.parser.get_method().decode("latin-1"), self.url.decode("latin-1"), self.headers, self.body,
+            self.parser.should_keep_alive(), self.front.loop.time(),
+        )
+        if self.ending:
+            return
+        if self.state is not State.BUSY and not self.paused:
+            self.begin(whole)
+        elif len(self.queue) < PIPELINED:
+            self.queue.append(whole)
+        else:
+            raise Rejected(400)
+
+    # --- requests and answers ---
+
+    def begin(self, whole: Whole) -> None:
+        """Hand a request on, or answer it from here."""
+        self.keep = whole.keep
+        self.front.enter(self, State.BUSY)
+        if whole.method == "GET" and whole.target == HEALTH:
             self.answer(Answer(200 if self.front.sidecar.ready else 500))
             return
-        told = self.front.read(method, target, self.headers, self.body)
+        told = self.front.read(whole.method, whole.target, whole.headers, whole.body)
+        waited = 1000.0 * (self.front.loop.time() - whole.at)
         self.request_id = told.id
-        self.front.sidecar.take(told, self.answer)
-
-    # --- answers ---
+        self.front.sidecar.take(told._replace(wait=max(0.0, told.wait - waited)), self.answer)
 
     def answer(self, answer: Answer) -> None:
         """The answer to the request that is out."""
         self.request_id = None
-        keep = self.pipelined or (self.keep and not self.front.draining)
+        if self.transport.is_closing():
+            return
+        more = self.queue or self.rejected
+        keep = self.keep and (bool(more) or not self.front.draining)
+        self.front.enter(self, State.IDLE)
         self.transport.write(render(answer, keep))
-        if self.pipelined:
-            self.reject(400)
-        elif not keep:
-            self.ending = True
-            self.transport.close()
+        if not keep:
+            self.close()
+        elif self.paused:
+            self.front.enter(self, State.WRITING)
+        elif more:
+            self.go_on()
+        elif self.started:
+            self.front.enter(self, State.READING)
+
+    def go_on(self) -> None:
+        """What came behind the request that has been answered."""
+        if self.queue:
+            try:
+                self.begin(self.queue.popleft())
+            except Rejected as wrong:
+                self.queue.clear()
+                self.reject(wrong.status)
+        elif self.rejected:
+            self.reject(self.rejected)
+        if not self.queue and not self.ending:
+            self.transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        """The client doesn't read: no further request of its is begun until it does."""
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        if self.state is State.WRITING:
+            self.front.enter(self, State.READING if self.started else State.IDLE)
+            self.go_on()
 
     def reject(self, status: int) -> None:
-        """Answer what is no proper request, after the one before it, and end the connection."""
-        if self.request_id is not None:
-            self.pipelined = True
+        """Answer what is no proper request, after those before it, and end the connection."""
+        if self.request_id is not None or self.queue:
+            self.rejected = status
+            self.transport.pause_reading()
         elif not self.ending:
-            self.ending = True
+            self.ending, self.raw = True, 0
+            self.front.enter(self, State.LINGERING)
             self.transport.write(render(Answer(status), keep=False))
             self.transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER, self.transport.close)
+
+    # --- ends that the server chooses ---
+
+    def too_slow(self) -> None:
+        """A request is not whole in time; who has sent nothing gets no answer."""
+        if self.started:
+            self.reject(408)
+        else:
+            self.drop()
+
+    def close(self) -> None:
+        self.ending = True
+        self.front.enter(self, State.CLOSING)
+        self.transport.close()
+
+    def drop(self) -> None:
+        self.ending = True
+        self.front.enter(self, State.CLOSING)
+        self.transport.abort()
+
+    def close_idle(self) -> bool:
+        """Close the connection between requests; False if one is there or on its way.
+
+        Asked of the kernel, as the loop may not have read it yet.
+        """
+        if self.started or self.ending:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        if poll.poll(0):
+            return False
+        self.close()
+        return True
 
 
 def render(answer: Answer, keep: bool) -> bytes:
--- a/zinclever/net/sidecar.py
+++ b/zinclever/net/sidecar.py
@@ -22,7 +22,7 @@
 EARLY = 15.0  # ms before the client's deadline at which the balancer takes it to pass
 GUARD = 8.0  # ms before the deadline at which a request is answered whatever happens
 MOST_LOAD = 1e6  # in a load report: no endpoint holds or serves more, and no figure is below 0
-RESERVED = 64  # descriptors for the listener, discovery, the loop and what the runtime opens
+RESERVED = 40  # descriptors for the listener, discovery, the loop, the runtime and those being closed
 
 
 def make_clock() -> Callable[[], float]:
@@ -83,6 +83,7 @@
 
     def __init__(self, balancer: Balancer, zones: Sequence[str], sockets: int, discovery: Address) -> None:
         self.balancer, self.settings, self.zones = balancer, balancer.settings, zones
+        self.sockets = sockets
         self.loop = asyncio.get_running_loop()
         self.clock = make_clock()
         settings = self.settings
