Give each zone a window of its own; let overtaken timers lapse

A trace of the module by half seconds: window full (40 of 40), 50 to 90 requests held, 150 refused each half second, while the four endpoints of the other zone had 0 in flight; TimerFired 600 to 880 times in 0.5 s. Ruled out: what the module counts as in flight agrees with what is out (it falls to 0 when traffic does, also after spoilt answers); cold endpoints; shedding (0.00); latency of the first dials. Cause: policy.room() and steer() knew one window, learnt from what home answers, and pool() left home only where answers there left clearly less of the aim; in set_timer/handle every timer that had been overtaken came due all the same and was then set again, so their number grew with each time requests were held. Changed: window, rate and load are kept for each side; what finds home full goes to the zone with room. A timer that fires before the one that counts sets nothing.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -49,9 +49,9 @@
     # Guards against starving a fleet that has turned slow (ic4351a).
     s = Sidecar(settings(), fleet(4))
     s.serve_many(60, 4, 50)
-    before = s.b.window
+    before = s.b.near.window
     s.serve_many(20, 4, 150)
-    assert s.b.window > 0.6 * before
+    assert s.b.near.window > 0.6 * before
 
 
 def test_newest_held_request_goes_first() -> None:
@@ -177,3 +177,28 @@
         r = s.ask(n % 2)
         assert s.sends(r)
         leave(s, r)
+
+
+def test_full_home_zone_leaves_to_the_others() -> None:
+    """Guards against requests that wait, and are refused, while the other zone stands idle."""
+    prices = i.Prices(cross_zone=0.2)
+    listed = [i.Listed(f"e{x}", zone=x % 2) for x in range(8)]
+    s = Sidecar(settings(prices=prices, group_size=2), listed)
+    zone = {x.endpoint: x.zone for x in listed}
+    names = [s.ask() for _ in range(30)]
+    sends = [zone[s.sends(n)[0].endpoint] for n in names]
+    assert sends == [0] * 20 + [1] * 10, "ten for each endpoint, shared by two balancers"
+    assert s.b.near.inflight == 20 and s.b.far.inflight == 10
+    s.wait(5)
+    for n in names:
+        s.end(n)
+    assert s.b.near.inflight == s.b.far.inflight == s.b.inflight == 0
+
+
+def test_timers_do_not_multiply() -> None:
+    """Guards against a timer for each that was ever overtaken: they would wake the balancer ever more."""
+    s = full()
+    for _ in range(40):
+        s.wait(7)
+        s.ask()
+    assert len(s.timers) <= 12
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -33,6 +33,7 @@
 SHRINK = 0.95  # factor by which that is taken back with each answer when it takes longer
 PEAK_SPAN = 15000.0  # ms for which the best rate of service is remembered
 SPREAD = 3.0  # deviations: room for chance above the fleet's mean number in flight
+FAR_OWN = 1.0  # in flight to the other zones at least: with many balancers each, it adds up there
 START_EACH = 10.0  # requests in flight an endpoint, of all balancers, that are sent before rates are known
 START_SPAN = 2000.0  # ms for which a start is taken to last
 START_BY = 1.5  # mean latencies before its aim by which a held request has to start
@@ -115,11 +116,32 @@
         return max(0.0, 2 * self.quiet_to - self.quiet_from - now)
 
 
+class Side:
+    """The ready endpoints of the home zone, or of the others: each can carry so much.
+
+    Guards against a home zone that is full, and requests that wait for it, while others have room: what one
+    zone answers tells nothing of what the others could.
+    """
+
+    __slots__ = ("began", "extra", "inflight", "load", "peak", "ready", "served", "steered_at", "window")
+
+    def __init__(self) -> None:
+        self.ready: list[Endpoint] = []  # in this balancer's own random order
+        self.inflight = 0
+        self.served, self.load = Smooth(RATE_SPAN), Smooth(RATE_SPAN)
+        self.peak = self.extra = self.steered_at = self.window = 0.0
+        self.began = NEVER  # first answer
+
+    def room(self) -> bool:
+        """Whether one more may go out."""
+        return bool(self.ready) and self.inflight < self.window
+
+
 class Attempt:
-    __slots__ = ("endpoint", "live", "sent_at")
+    __slots__ = ("endpoint", "live", "sent_at", "side")
 
-    def __init__(self, endpoint: Endpoint, sent_at: float) -> None:
-        self.endpoint, self.sent_at, self.live = endpoint, sent_at, True
+    def __init__(self, endpoint: Endpoint, side: Side, sent_at: float) -> None:
+        self.endpoint, self.side, self.sent_at, self.live = endpoint, side, sent_at, True
 
 
 class Request:
@@ -182,20 +204,14 @@
         self.requests: dict[str, Request] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.ready: list[Endpoint] = []
-        self.near: list[Endpoint] = []  # ready and not dear to cross to, in this balancer's own random order
-        self.far: list[Endpoint] = []
+        self.near, self.far = Side(), Side()  # far: those that are dear to cross to
         self.home, self.away = Smooth(2 * MEMORY), Smooth(2 * MEMORY)  # share of the aim that answers left
         self.recent: deque[str] = deque(maxlen=KEYS)
         self.held = 0
         self.patience: list[tuple[float, int, Request]] = []  # held requests by when waiting stops to help
         self.count = 0
         self.inflight = 0
-        self.served, self.load = Smooth(RATE_SPAN), Smooth(RATE_SPAN)
-        self.peak = 0.0
-        self.extra = 0.0
-        self.steered_at = 0.0
         self.began = NEVER  # first answer
-        self.window = 0.0
         self.copy_tokens = COPY_BURST
         self.demand = Smooth(MEMORY)
         self.warm_rate = 0.0  # answers a millisecond and size of a warm endpoint
@@ -215,7 +231,8 @@
         elif isinstance(event, i.RequestArrived):
             self.on_arrived(now, event)
         elif isinstance(event, i.TimerFired):
-            self.timer_at = NEVER
+            if now >= self.timer_at:  # else one that an earlier timer overtook: it is not to be set again
+                self.timer_at = NEVER
             self.run_copies(now)
         elif isinstance(event, i.MembershipNews):
             self.on_membership(now, event)
@@ -256,6 +273,7 @@
         a.live = False
         r.live -= 1
         self.inflight -= 1
+        a.side.inflight -= 1
         self.learn(now, r, a, event)
         if event.outcome not in i.NEVER_RAN and r.bound is None:
             r.bound = a
@@ -337,14 +355,16 @@
             return False
         if not e.inflight:
             e.quiet_from = now - e.silence(now)
+        side = self.side(e)
         e.inflight += 1
+        side.inflight += 1
         self.inflight += 1
         if self.cold(now, e):
             e.tokens -= 1.0
         if not r.attempts:
             r.tenant.used.add(now, 0.0)
             self.used.add(now, 0.0)
-        r.attempts.append(Attempt(e, now))
+        r.attempts.append(Attempt(e, side, now))
         r.live += 1
         # In a crowd work that misses its aim is stopped; else it may run on: a late answer spares a retry.
         self.out.append(i.Send(r.id, e.name, r.aim_at if self.crowded() else r.deadline))
@@ -381,24 +401,32 @@
         turn = int(self.rng.random() * self.recent.count(r.key))
         seed = zlib.crc32(f"{r.key} {turn}".encode())
         side = self.near if near else self.far
-        e = max(side, key=lambda e: (((e.mark ^ seed) * 0x9E3779B1 % 2**32) / 2**32) ** (1.0 / e.size))
+        e = max(side.ready, key=lambda e: (((e.mark ^ seed) * 0x9E3779B1 % 2**32) / 2**32) ** (1.0 / e.size))
         used = any(a.endpoint is e for a in r.attempts)
         fit = not used and e.down_until <= now and self.same_group(r, e) and self.warm_enough(now, e)
         return e if fit else None
 
     def pool(self, now: float, r: Request) -> list[Endpoint]:
-        """What to draw from: the home zone, or the others where they are better by more than the crossing."""
+        """What to draw from: the home zone, or the others where it is full or they are better by more than
+        the crossing."""
         sides = [self.near, self.far]
-        if self.far and self.spills(now):
+        if self.far.ready and self.spills(now):
             sides.reverse()
         for side in sides:
-            if pool := self.fit(now, r, side):
+            if side.room() and (pool := self.fit(now, r, side.ready)):
                 return pool
         if r.live:
             return []
         # A fleet smaller than the attempts allowed: a retry may go back where the request has been.
         used = [a.endpoint for a in r.attempts]
-        return [e for e in used if e.phase == "ready" and self.warm_enough(now, e) and self.same_group(r, e)]
+        return [
+            e for e in used
+            if e.phase == "ready" and self.side(e).room()
+            and self.warm_enough(now, e) and self.same_group(r, e)
+        ]
+
+    def side(self, e: Endpoint) -> Side:
+        return self.near if e.near else self.far
 
     def fit(self, now: float, r: Request, side: list[Endpoint]) -> list[Endpoint]:
         """The first of this balancer's own order that are unused by the request, not down, not cold and full.
@@ -462,7 +490,7 @@
         # An answer costs what all its attempts were out for, losers included.
         count = 1.0 if outcome == "served" else 0.0
         k.occupied.add(now, event.elapsed, 1.0, count)
-        self.load.add(now, event.elapsed / k.low, 1.0, count)
+        a.side.load.add(now, event.elapsed / k.low, 1.0, count)
         ratio = event.elapsed / k.mean
         if outcome == "cancelled":
             # A loser counts as served at the time it had waited, and for less if that was short: one
@@ -487,9 +515,9 @@
             known = k.occupied.weight > BASE_FROM
             per_answer = k.occupied.mean(now, BASE_SHARE * k.told.aim, 0.3)
             k.low = min(k.low * (1.0 + BASE_DRIFT) if known else BASE_SHARE * k.told.aim, per_answer)
-            self.served.add(now, 0.0, k.low)
+            a.side.served.add(now, 0.0, k.low)
             self.began = min(self.began, now)
-            self.steer(now)
+            self.steer(now, a.side)
         elif outcome == "connect_failed" and e.served_at < a.sent_at:
             # No word since the send: down. With answers in between, its connection table is full.
             e.failures += 1
@@ -554,8 +582,8 @@
         enough = int(self.enough())
         rates: list[float] = []
         for side in (self.near, self.far):
-            warm = [e for e in side if not self.cold(now, e)]
-            if 3 * len(warm) >= len(side) > 0:
+            warm = [e for e in side.ready if not self.cold(now, e)]
+            if 3 * len(warm) >= len(side.ready) > 0:
                 served = sum(e.served.rate(now) for e in warm[:enough])
                 rates.append(served / sum(e.size for e in warm[:enough]))
         if rates:
@@ -566,8 +594,8 @@
     # --- admission ---
 
     def room(self) -> bool:
-        """Whether one more may go out."""
-        return self.inflight < self.window
+        """Whether one more may go out somewhere."""
+        return self.near.room() or self.far.room()
 
     def crowded(self) -> bool:
         return self.held > 0 or not self.room()
@@ -607,29 +635,32 @@
                 below += part
         return (below + own * self.rng.random()) / whole
 
-    def steer(self, now: float) -> None:
-        """Set the window: what the best rate of service needs in flight at the uncrowded latency, and chance.
+    def steer(self, now: float, side: Side) -> None:
+        """Set a side's window: what its best rate of service needs in flight at the uncrowded latency, and
+        chance.
 
         What goes out beyond that only waits at the endpoints, where it does harm. Aimed at a latency
         instead, the window would starve a fleet that is slow for other reasons than a queue.
         """
-        age = max(now - self.began, RATE_FIRST)
-        busy = self.served.rate(now) / (1.0 - math.exp(-age / RATE_SPAN))
+        side.began = min(side.began, now)
+        age = max(now - side.began, RATE_FIRST)
+        busy = side.served.rate(now) / (1.0 - math.exp(-age / RATE_SPAN))
         if age >= RATE_SPAN:
-            self.peak = busy = max(busy, self.peak * math.exp((self.steered_at - now) / PEAK_SPAN))
-        if self.load.mean(now, 1.0, 3.0) >= CALM:
-            self.extra *= SHRINK
+            side.peak = busy = max(busy, side.peak * math.exp((side.steered_at - now) / PEAK_SPAN))
+        if side.load.mean(now, 1.0, 3.0) >= CALM:
+            side.extra *= SHRINK
         elif self.held:
-            self.extra = min(self.extra + GROWTH, 0.5 * busy)
-        self.steered_at = now
+            side.extra = min(side.extra + GROWTH, 0.5 * busy)
+        side.steered_at = now
         # The room for chance is one for all balancers together: each takes a part as if loads were even.
-        self.window = busy + self.extra + SPREAD * math.sqrt(busy / self.settings.group_size) + 2.0
+        own = 2.0 if side is self.near else FAR_OWN
+        side.window = busy + side.extra + SPREAD * math.sqrt(busy / self.settings.group_size) + own
         if age < START_SPAN:
             # A short record tells little; without any bound a fleet in overload is full within a second.
-            self.window = max(self.window, self.first_window())
+            side.window = max(side.window, self.first_window(side))
 
-    def first_window(self) -> float:
-        return START_EACH * len(self.ready) / self.settings.group_size
+    def first_window(self, side: Side) -> float:
+        return START_EACH * len(side.ready) / self.settings.group_size
 
     def hold(self, r: Request) -> None:
         """Keep a request until there is room, or until it could no longer be served in time."""
@@ -676,7 +707,7 @@
                     if not self.admits(now, r):
                         break
                     if not self.send(now, r):
-                        return
+                        break
                     self.release(r)
                 queue.pop()
 
@@ -709,10 +740,11 @@
         dear = self.settings.prices.cross_zone >= DEAR
         for e in self.ready:
             e.near = not dear or e.zone == self.settings.zone
-        self.near = [e for e in self.ready if e.near]
-        self.far = [e for e in self.ready if not e.near]
-        if self.began == NEVER:
-            self.window = self.first_window()
+        self.near.ready = [e for e in self.ready if e.near]
+        self.far.ready = [e for e in self.ready if not e.near]
+        for side in (self.near, self.far):
+            if side.began == NEVER:
+                side.window = self.first_window(side)
 
     def ask(self, now: float) -> None:
         """Subscribe, and again if no answer comes within half the time that the rules give."""
