End connections used once with their answer where many are idle

Replayed with a trace: the module had 10 to 60 events in 0.2 s, nothing held, nothing refused by it; BUSY 1 to 7 connections, IDLE 124 to 131 of 384 descriptors all the time. Cause: all idle connections had been used once. Clients that ask once and stay come by some 60 a second, so closing them at 2 s leaves a third of the descriptors, all that clients may use for requests, taken for good. server.Front hurried nothing below a quarter of the limit besides. Changed: from an 8th of the limit idle on, a connection not used twice ends with its answer (Connection: close, so nothing crosses); those idle for 2 s are closed down to a 16th.

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -172,7 +172,7 @@
     monkeypatch.setattr(server, "SWEEP", 1000.0)
 
     async def test() -> None:
-        async with sidecar(refuse_all, known(e=closed_port()), sockets=4 * 2) as s:
+        async with sidecar(refuse_all, known(e=closed_port()), sockets=server.EASY * 2) as s:
             clients = [await s.client() for _ in range(4)]
             for n in (2, 1, 0, 3):
                 assert (await clients[n].ask(Req_Id=f"r{n}")).status == 503
@@ -189,6 +189,23 @@
     run(test)
 
 
+def test_connections_used_once_end_with_their_answer_where_many_are_idle() -> None:
+    """Guards against clients that ask once and keep their connection, so many that others find none; who
+    comes back on one keeps it."""
+
+    async def test() -> None:
+        async with sidecar(refuse_all, known(e=closed_port()), sockets=server.BRIEF * 8) as s:
+            proven = await s.client()
+            for n in range(2):
+                assert "connection" not in (await proven.ask(Req_Id=f"p{n}")).headers
+            once = [await s.client() for _ in range(10)]
+            ends = [(await c.ask(Req_Id=f"r{n}")).headers.get("connection") for n, c in enumerate(once)]
+            assert ends == [None] * 7 + ["close"] * 3
+            assert "connection" not in (await proven.ask(Req_Id="p2")).headers
+
+    run(test)
+
+
 def test_silent_clients_by_hundreds_leave_room() -> None:
     """Guards against running out of descriptors: who connects and says nothing is closed first."""
 
--- a/zinclever/net/server.py
+++ b/zinclever/net/server.py
@@ -24,7 +24,8 @@
 MOST_CHUNKED = 4 * MOST_BODY  # raw bytes of a body with the sizes of its chunks
 PIPELINED = 8  # whole requests that may wait behind the one that is out; ordinary clients send one at a time
 SHARE = 2  # clients get one part in so many of the descriptors: a third for requests, the rest idle or bad
-EASY = 4  # one part in so many, up to which idle connections are not hurried
+EASY = 16  # one part in so many that may be idle without being hurried
+BRIEF = 8  # one part in so many, from which on a connection ends with its first answer
 READ_FOR = 2.4  # s from connecting, or from its first byte, in which a request has to be whole
 IDLE_FOR = 30.0  # s that a connection may be idle while there are few
 IDLE_AT_LEAST = 2.0  # s that a connection may be idle while there are many
@@ -77,6 +78,7 @@
         self.waits = [c.deadline for c in settings.classes]
         self.most = max(1, self.sidecar.sockets // SHARE)
         self.easy = self.sidecar.sockets // EASY
+        self.brief = self.sidecar.sockets // BRIEF
 
     def count(self) -> int:
         return self.sidecar.endpoints.clients
@@ -122,6 +124,14 @@
         if self.count() > self.most:
             newcomer.drop()
 
+    def short_of_connections(self) -> bool:
+        """Whether idle connections take up so much that there would be none left for requests.
+
+        Guards against clients that ask once and keep their connection: closing it once it has been idle for
+        long enough comes too late where many do.
+        """
+        return len(self.since[State.IDLE]) >= self.brief
+
     def sweep(self) -> None:
         """End what has taken too long, those that have waited longest first."""
         self.sweeper = self.loop.call_later(SWEEP, self.sweep) if self.count() else None
@@ -130,7 +140,7 @@
         for state in (State.WRITING, State.LINGERING, State.CLOSING):
             for connection in self.overdue(state, LINGER if state is State.LINGERING else WRITE_FOR):
                 connection.drop()
-        many = self.count() - self.easy
+        many = len(self.since[State.IDLE]) - self.easy
         for connection in self.overdue(State.IDLE, IDLE_AT_LEAST):
             if many <= 0:
                 break
@@ -232,6 +242,7 @@
         self.state = State.READING
         self.request_id: str | None = None  # of the request that is owed its answer
         self.keep = True  # the request that is out leaves the connection open
+        self.proven = False  # the client has used it again
         self.started = False  # a request has begun to come in
         self.queue: deque[Whole] = deque()  # whole requests behind the one that is out
         self.rejected = 0  # status for what came after them and is no request
@@ -356,7 +367,9 @@
         if self.transport.is_closing():
             return
         more = self.queue or self.rejected
-        keep = self.keep and (bool(more) or not self.front.draining)
+        brief = not self.proven and self.front.short_of_connections()
+        keep = self.keep and (bool(more) or not (self.front.draining or brief))
+        self.proven = True
         self.front.enter(self, State.IDLE)
         self.transport.write(render(answer, keep))
         if not keep:
