--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -12,6 +12,7 @@
 from loopback import (
     Message,
     Peer,
+    Script,
     always,
     host,
     known,
@@ -21,7 +22,8 @@
     sidecar,
     silence,
 )
-from test_discovery import Script, news, told, watch
+from test_discovery import Script as Answers
+from test_discovery import news, told, watch
 from test_program import config, connect, started
 from test_sidecar import send_to
 
@@ -139,8 +141,8 @@
 def test_discovery_that_moves_is_asked_for_the_whole_list() -> None:
     """Guards against a new discovery's list that looks older than the old one's, and against late answers
     of the old one."""
-    one = Script(told(900, True, host("a", "127.0.0.1:1")))
-    two = Script(told(7, True, host("b", "127.0.0.1:2")), told(8, False, host("c", "127.0.0.1:3")))
+    one = Answers(told(900, True, host("a", "127.0.0.1:1")))
+    two = Answers(told(7, True, host("b", "127.0.0.1:2")), told(8, False, host("c", "127.0.0.1:3")))
 
     async def test() -> None:
         async with serving(one) as (old, at), serving(two) as (new, other), sidecar(watch, discovery=at) as s:
@@ -160,6 +162,17 @@
     run(test)
 
 
+def holding(release: asyncio.Event) -> Script:
+    """Answers at once, but for the request named ``held``, which waits to be released."""
+
+    async def script(message: Message, peer: Peer) -> bytes | None:
+        if message.headers["req-id"] == "held":
+            await release.wait()
+        return OK
+
+    return script
+
+
 def test_sighup_moves_discovery_and_keeps_serving(tmp_path: Path) -> None:
     """Guards against a program that ends on SIGHUP, that loses what it holds, that takes a broken file, or
     that sticks to the address in its environment."""
@@ -168,15 +181,10 @@
 
     async def test() -> None:
         release = asyncio.Event()
-
-        async def script(message: Message, peer: Peer) -> bytes | None:
-            if message.headers["req-id"] == "held":
-                await release.wait()
-            return OK
-
+        script = holding(release)
         async with serving(script) as (peer, at):
-            one = Script(told(900, True, host("e", at)))
-            two = Script(told(3, True, host("f", at)))
+            one = Answers(told(900, True, host("e", at)))
+            two = Answers(told(3, True, host("f", at)))
             async with serving(one) as (_, first), serving(two) as (second, other):
                 env = config(tmp_path, known=known(e=at), discovery=first)
                 env["LB_DISCOVERY"] = first
@@ -207,12 +215,7 @@
 
     async def test() -> None:
         release = asyncio.Event()
-
-        async def script(message: Message, peer: Peer) -> bytes | None:
-            if message.headers["req-id"] == "held":
-                await release.wait()
-            return OK
-
+        script = holding(release)
         async with serving(script) as (peer, at):
             env = config(tmp_path, known=known(e=at))
             async with started(env) as program:
