--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -26,6 +26,7 @@
 SLOW = 2.0  # times its own work that a request may take beyond that: a large one is not begun anew in vain
 SILENT = 0.08  # share of attempts that come to be overdue from which on they are taken to be swallowed
 SILENT_FROM = 20.0  # attempts: how many it takes to outweigh that none are
+QUICK = 1.4  # times the uncrowded latency below which a class's answers show no crowd
 FORGIVEN = 0.5  # of a window: as many overdue attempts at the most leave their place in it to others
 FINISH = 0.7  # mean latencies that an attempt needs to have a chance of finishing
 BASE_SHARE = 0.4  # share of the aim: an uncrowded fleet answers within it, or the aim would be out of reach
@@ -576,9 +577,12 @@
         """The time within which an attempt is answered, if it is at all."""
         return max(r.klass.delay, OVERDUE * r.klass.mean) + SLOW * r.work
 
-    def swallowing(self, now: float) -> bool:
-        """Whether more attempts are overdue than slow answers account for."""
-        return self.silent.mean(now, 0.0, SILENT_FROM) > SILENT
+    def swallowing(self, now: float, k: Klass) -> bool:
+        """Whether more attempts are overdue than slow answers account for, while those that come are quick.
+
+        In a crowd they are not: guards against pushing on what is overrun already.
+        """
+        return k.mean < QUICK * k.low and self.silent.mean(now, 0.0, SILENT_FROM) > SILENT
 
     def run_overdue(self, now: float) -> None:
         """Attempts without a word in their time, where too many are: they leave their place in the window to
@@ -596,7 +600,7 @@
             if not a.live:
                 continue
             self.silent.add(now, 1.0)
-            if r.begun or not self.swallowing(now):
+            if r.begun or not self.swallowing(now, r.klass):
                 continue
             a.passed = True
             a.side.overdue += 1
