--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -219,6 +219,7 @@
         self.ready: list[Endpoint] = []
         self.near, self.far = Side(), Side()  # far: those that are dear to cross to
         self.home, self.away = Smooth(2 * MEMORY), Smooth(2 * MEMORY)  # share of the aim that answers left
+        self.asked = Smooth(2 * MEMORY)  # worth of a request
         self.recent: deque[str] = deque(maxlen=KEYS)
         self.late: list[tuple[float, int, Request, Attempt]] = []  # attempts by when they are overdue
         self.silent = Smooth(MEMORY)  # share of attempts that came to be overdue
@@ -270,6 +271,7 @@
         self.requests[r.id] = r
         self.demand.add(now, 0.0)
         klass.demand.add(now, 0.0, klass.mean)
+        self.asked.add(now, self.gives(r))
         r.place = self.place(now, r)
         self.recent.append(r.key)
         self.copy_tokens = min(COPY_BURST, self.copy_tokens + COPY_BUDGET)
@@ -434,7 +436,7 @@
         """What to draw from: the home zone, or the others where it is full or they are better by more than
         the crossing."""
         sides = [self.near, self.far]
-        if self.far.ready and self.spills(now):
+        if self.far.ready and self.spills(now, r):
             sides.reverse()
         for side in sides:
             if side.room() and (pool := self.fit(now, r, side.ready)):
@@ -479,14 +481,21 @@
         shared = SHARED_BY * len(self.ready) / self.settings.group_size
         return max(FEW, shared) + self.inflight
 
-    def spills(self, now: float) -> bool:
-        """Whether an attempt leaves the zone: the likelier the further home falls behind.
+    def gives(self, r: Request) -> float:
+        """What an answer in time to this request is worth."""
+        return r.klass.told.value * ((r.work or r.klass.mean) if self.settings.value_by == "work" else 1.0)
 
-        Guards against a home zone with more traffic than its endpoints can carry.
+    def spills(self, now: float, r: Request) -> bool:
+        """Whether an attempt leaves the zone: the likelier the further home falls behind and the more the
+        request is worth, as crossing costs the same for all.
+
+        Guards against a home zone with more traffic than its endpoints can carry, and against one that is
+        left by all, stands idle and is not heard of again: what is worth little stays.
         """
         step = SPILL_STEP * self.settings.prices.cross_zone
         away = self.away.mean(now, 1.0 - BASE_SHARE, 1.0)
         gain = away - self.home.mean(now, away, RETURN)  # a home not heard of lately is given another chance
+        gain *= self.gives(r) / self.asked.mean(now, self.gives(r), 1.0)
         return gain > step and gain > step * (1.0 + self.rng.random())
 
     def same_group(self, r: Request, e: Endpoint) -> bool:
