--- a/tests/test_ordinary.py
+++ b/tests/test_ordinary.py
@@ -294,3 +294,33 @@
         s = Sidecar(settings(), [i.Listed(f"e{x}", size=1.0 + 2.0 * (x < 5)) for x in range(10)], seed)
         got += int(s.sends(s.ask())[0].endpoint[1:]) < 5
     assert 130 < got < 175
+
+
+def test_what_crosses_zones_is_worth_the_crossing() -> None:
+    # Guards against paying as much for a light request to leave a home that is full as for a heavy one.
+    listed = [i.Listed(f"e{x}", zone=x % 2) for x in range(8)]
+    s = Sidecar(settings(prices=i.Prices(cross_zone=0.2), value_by="work"), listed)
+    s.serve(60, took=20.0, gap=30.0)
+    while not s.b.held:
+        s.ask(work=40.0)
+        if not s.b.near.room():
+            light = s.ask(work=1.0)
+    heavy = s.ask(work=40.0)
+    assert not s.sends(light)
+    where, = s.sends(heavy)
+    assert int(where.endpoint[1:]) % 2 == 1
+
+
+def test_a_home_that_falls_behind_keeps_what_is_worth_little() -> None:
+    # Guards against a home zone left by all, which is then not heard of for long.
+    listed = [i.Listed(f"e{x}", zone=x % 2) for x in range(8)]
+    s = Sidecar(settings(prices=i.Prices(cross_zone=0.2), value_by="work"), listed)
+    sent: dict[float, list[int]] = {1.0: [], 40.0: []}
+    for _ in range(150):
+        for work in sent:
+            r = s.ask(work=work)
+            away = int(s.sends(r)[0].endpoint[1:]) % 2
+            sent[work].append(away)
+            s.wait(30 if away else 150)
+            s.end(r)
+    assert sum(sent[1.0][50:]) < 0.2 * 100 < 0.5 * 100 < sum(sent[40.0][50:])
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -49,6 +49,7 @@
 SHARED_BY = 10.0  # balancers to draw on each endpoint at least, so that their uneven loads even out
 DEAR = 0.05  # price of crossing zones from which on home is preferred; below, the wider draw is worth more
 SPILL_STEP = 0.25  # of the price: gain in aims from which on some leave the zone; it also relieves who stay
+FULL_GAIN = 0.6  # chance of an answer in time that a request gains by leaving a home zone that is full
 RETURN = 0.3  # answers that it takes to outweigh the guess that home is as good as the other zones
 EASE = 0.5  # share of the aim that answers leave on average, below which some are held; all at half
 SURE = 3.0  # attempts that tell nothing yet, and that it takes to outweigh what is usual
@@ -435,9 +436,11 @@
     def pool(self, now: float, r: Request) -> list[Endpoint]:
         """What to draw from: the home zone, or the others where it is full or they are better by more than
         the crossing."""
-        sides = [self.near, self.far]
-        if self.far.ready and self.spills(now, r):
-            sides.reverse()
+        sides = [self.near]
+        if not self.near.ready or FULL_GAIN * self.weighs(now, r) >= self.settings.prices.cross_zone:
+            sides.append(self.far)
+            if self.far.ready and self.spills(now, r):
+                sides.reverse()
         for side in sides:
             if side.room() and (pool := self.fit(now, r, side.ready)):
                 return pool
@@ -485,6 +488,10 @@
         """What an answer in time to this request is worth."""
         return r.klass.told.value * ((r.work or r.klass.mean) if self.settings.value_by == "work" else 1.0)
 
+    def weighs(self, now: float, r: Request) -> float:
+        """What an answer to this request is worth, over the usual."""
+        return self.gives(r) / self.asked.mean(now, self.gives(r), 1.0)
+
     def spills(self, now: float, r: Request) -> bool:
         """Whether an attempt leaves the zone: the likelier the further home falls behind and the more the
         request is worth, as crossing costs the same for all.
@@ -495,7 +502,7 @@
         step = SPILL_STEP * self.settings.prices.cross_zone
         away = self.away.mean(now, 1.0 - BASE_SHARE, 1.0)
         gain = away - self.home.mean(now, away, RETURN)  # a home not heard of lately is given another chance
-        gain *= self.gives(r) / self.asked.mean(now, self.gives(r), 1.0)
+        gain *= self.weighs(now, r)
         return gain > step and gain > step * (1.0 + self.rng.random())
 
     def same_group(self, r: Request, e: Endpoint) -> bool:
