Split the protocol-neutral core out of net/

Need: the ledger was HTTP from end to end, so a second protocol would copy it. core/ now holds requests, attempts, timers, the guard, pools, descriptors and the end in order; http1/ is a front and a wire on it; discovery/ words its own list. A front hears Served, Refused or Failed and words the answer.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -13,8 +13,11 @@
 
 from zinclever import Balancer, Settings
 from zinclever import interface as i
-from zinclever.net.server import Front, ServerConnection
-from zinclever.net.sidecar import Sidecar
+from zinclever.core.descriptors import Descriptors
+from zinclever.core.ledger import Ledger
+from zinclever.discovery.catalog import Discovery
+from zinclever.http1.front import Front
+from zinclever.http1.wire import HttpWire
 
 PATIENCE = 20.0  # s: far more than any wait here takes
 CLASSES = (
@@ -207,8 +210,10 @@
 class Setup:
     """A sidecar in this process round a scripted balancer."""
 
-    def __init__(self, sidecar: Sidecar, balancer: Scripted, front: Front, address: tuple[str, int]) -> None:
+    def __init__(self, sidecar: Ledger, balancer: Scripted, front: Front, address: tuple[str, int]) -> None:
         self.sidecar, self.balancer, self.front, self.address = sidecar, balancer, front, address
+        assert isinstance(sidecar.wire, HttpWire) and isinstance(sidecar.source, Discovery)
+        self.wire, self.discovery = sidecar.wire, sidecar.source
         self.clients: list[Client] = []
 
     async def client(self) -> Client:
@@ -225,11 +230,16 @@
     given["discovery"] = discovery_mode
     balancer = Scripted(Settings(**(given | more)), react)
     where, _, port = (discovery or closed_port()).partition(":")
-    made = Sidecar(balancer, ["a", "b"], sockets, (where, int(port)))
+    descriptors = Descriptors(sockets)
+    made = Ledger(
+        balancer, HttpWire(descriptors),
+        lambda on_list: Discovery((where, int(port)), balancer.settings, ["a", "b"], hosts or {}, on_list),
+        descriptors,
+    )
     front = Front(made)
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(lambda: ServerConnection(front), "127.0.0.1", 0)
-    made.start(hosts or {})
+    server = await loop.create_server(front.connection, "127.0.0.1", 0)
+    made.start()
     setup = Setup(made, balancer, front, server.sockets[0].getsockname())
     try:
         yield setup
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -8,7 +8,7 @@
 import pytest
 from loopback import run
 
-from zinclever.net.http import Broken, ClientConnection, Reply, dial
+from zinclever.http1.connection import Broken, ClientConnection, Reply, dial
 
 
 @pytest.mark.parametrize(("size", "unsent"), [(100, False), (32 << 20, True)])
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -63,7 +63,7 @@
             assert [n.kind for n in news(s)] == ["remembered", "changes", "changes", "whole"]
             assert news(s)[1].entries == []
             assert news(s)[2].entries == [i.Listed("b", "draining", 2.0, 1, 3, 1234.0)]
-            assert set(s.sidecar.endpoints.pools) == {"a"}
+            assert set(s.wire.pools) == {"a"}
             while len(peer.requests) < 4:
                 await peer.arrived.get()
             path = "/catalog/members?index="
@@ -127,7 +127,7 @@
             s.balancer.react = lambda event: (
                 [i.WatchMembership(True)] if news(s)[-1].kind == "changes" else []
             )
-            s.sidecar.on_list("changes", [])
+            s.discovery.tell("changes", [])
             await s.balancer.until(lambda: news(s)[-1].kind == "whole")
             assert peer.connections == 2 and await peer.ended.get() == 0
 
@@ -171,9 +171,9 @@
     async def test() -> None:
         first, second = closed_port(), closed_port()
         async with sidecar(lambda event: (), {"seq": 1, "hosts": [host("a", first)]}, rules=RULES) as s:
-            old = s.sidecar.endpoints.pools["a"]
-            s.sidecar.on_list("changes", [host("a", second)])
-            assert s.sidecar.endpoints.pools["a"].address[1] == int(second.rpartition(":")[2])
+            old = s.wire.pools["a"]
+            s.discovery.tell("changes", [host("a", second)])
+            assert s.wire.pools["a"].address[1] == int(second.rpartition(":")[2])
             assert old.left
 
     run(test)
@@ -186,6 +186,6 @@
     async def test() -> None:
         for sharing, wait in ((2, 3000.0), (50, 10000.0), (400, 20000.0)):
             async with sidecar(watch, {}, group_size=sharing) as s:
-                assert s.sidecar.discovery.wait == wait
+                assert s.discovery.wait == wait
 
     run(test)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -13,8 +13,9 @@
 from test_sidecar import send_to
 
 from zinclever import interface as i
-from zinclever.net import http, server
-from zinclever.net.sidecar import RESERVED
+from zinclever.core.descriptors import RESERVED
+from zinclever.http1 import connection as http
+from zinclever.http1 import front as server
 
 
 def refuse_all(event: i.Event) -> Iterable[i.Action]:
@@ -287,7 +288,7 @@
         async with sidecar(refuse_all) as s:
             c = await s.client()
             assert (await c.ask("/_health")).status == 500
-            s.sidecar.on_list("whole", known(e=closed_port())["hosts"])
+            s.discovery.tell("whole", known(e=closed_port())["hosts"])
             assert (await c.ask("/_health")).status == 200
             assert not s.sidecar.requests
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -28,8 +28,9 @@
 from test_sidecar import send_to
 
 from zinclever import interface as i
-from zinclever.net import http
-from zinclever.net.sidecar import Answer, Incoming
+from zinclever.core.protocol import Final, Incoming
+from zinclever.http1 import connection as http
+from zinclever.http1.wire import Payload
 
 OK = response(200, b"page")
 
@@ -62,7 +63,7 @@
             for n in range(2):
                 got = await c.ask(Req_Id=f"r{n}")
                 assert (got.status, got.body) == (200, b"page")
-            assert peer.connections == 2 and not s.sidecar.endpoints.idle
+            assert peer.connections == 2 and not s.wire.idle
 
     run(test)
 
@@ -150,10 +151,10 @@
             await old.arrived.get()
             await old.arrived.get()
             where, _, port = other.partition(":")
-            s.sidecar.move_discovery((where, int(port)))
+            s.discovery.move((where, int(port)))
             await s.balancer.until(lambda: len(news(s)) == 4)
             assert [n.kind for n in news(s)] == ["remembered", "whole", "whole", "changes"]
-            assert set(s.sidecar.endpoints.pools) == {"b", "c"}
+            assert set(s.wire.pools) == {"b", "c"}
             assert [m.start.split()[1] for _, m in new.requests][:2] == [
                 "/catalog/members", "/catalog/members?index=7&wait=3000",
             ]
@@ -254,11 +255,11 @@
         async with serving(always(OK)) as (_, at), sidecar(react, known(e=at)) as s:
 
 
-            def broken(answer: Answer) -> None:
+            def broken(answer: Final) -> None:
                 raise RuntimeError("no way to the client")
 
             head = b"GET /read HTTP/1.1\r\nReq-Id: r9\r\n"
-            request = Incoming("r9", 0, 0, "", 5000.0, 0.0, False, head, b"")
+            request = Incoming("r9", 0, 0, "", 5000.0, 0.0, False, Payload(head, b""))
             s.sidecar.take(request, broken)
             await s.balancer.until(lambda: bool(s.balancer.ends()))
             assert s.balancer.ends()[0].complete
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -25,7 +25,8 @@
 )
 
 from zinclever import interface as i
-from zinclever.net.sidecar import RESERVED
+from zinclever.core.descriptors import RESERVED
+from zinclever.http1.wire import Payload
 
 
 def send_to(*endpoints: str, expires: float = 0.0) -> Reaction:
@@ -316,7 +317,7 @@
             b.send(Req_Id="r2")
             assert {(await a.answer()).status, (await b.answer()).status} == {200}
             assert [n for n, _ in peer.requests] == [0, 1]
-            newest = next(iter(s.sidecar.endpoints.pools["e"].idle[-1:]))
+            newest = next(iter(s.wire.pools["e"].idle[-1:]))
             port = newest.sock.getsockname()[1]
             assert (await a.ask(Req_Id="r3")).status == 200
             used = peer.requests[-1][0]
@@ -334,7 +335,7 @@
         async with serving(always(response())) as (peer, at), sidecar(send_to("e"), known(e=at)) as s:
             c = await s.client()
             assert (await c.ask()).status == 200
-            connection, = s.sidecar.endpoints.idle
+            connection, = s.wire.idle
             assert connection.reusable()
             other = peer.writers[0].get_extra_info("socket")
             raw = socket.fromfd(other.fileno(), socket.AF_INET, socket.SOCK_STREAM)
@@ -344,8 +345,8 @@
                 raw.shutdown(socket.SHUT_WR)
             raw.close()
             assert not connection.reusable()
-            s.sidecar.endpoints.start("e", b"", lambda outcome, reply: None)
-            assert connection not in s.sidecar.endpoints.idle
+            s.wire.start("e", Payload(b"", b""), 1.0, lambda *told: None, False)
+            assert connection not in s.wire.idle
 
     run(test)
 
@@ -359,9 +360,9 @@
         ):
             c = await s.client()
             assert (await c.ask()).status == 200
-            assert 0.2 < s.sidecar.endpoints.idle_for < 0.4
+            assert 0.2 < s.wire.idle_for < 0.4
             assert await peer.ended.get() == 0
-            assert not s.sidecar.endpoints.idle and not s.sidecar.endpoints.pools["e"].idle
+            assert not s.wire.idle and not s.wire.pools["e"].idle
 
     run(test)
 
@@ -380,7 +381,7 @@
             s.balancer.react = send_to("b")
             one.send(Req_Id="r2")
             await b.arrived.get()
-            assert s.sidecar.endpoints.open == 2
+            assert s.sidecar.descriptors.open == 2
             two.send(Req_Id="r3")
             assert await a.ended.get() == 0  # the idle one made room
             await b.arrived.get()
@@ -400,7 +401,7 @@
         async with serving(always(answer)) as (peer, at), sidecar(send_to("e"), known(e=at)) as s:
             c = await s.client()
             assert (await c.ask()).body == b"last"
-            assert not s.sidecar.endpoints.idle
+            assert not s.wire.idle
             assert (await c.ask(Req_Id="r2")).body == b"last"
             assert peer.connections == 2
 
--- a/tests/test_swallowed.py
+++ b/tests/test_swallowed.py
@@ -16,7 +16,8 @@
 
 from zinclever import Balancer, Settings
 from zinclever import interface as i
-from zinclever.net import sidecar as net
+from zinclever.core.ledger import make_clock
+from zinclever.http1 import wire
 
 RESETS = struct.pack("ii", 1, 0)  # SO_LINGER of 0 s: a close that resets
 
@@ -24,7 +25,7 @@
 @pytest.fixture(autouse=True)
 def long_hold(monkeypatch: pytest.MonkeyPatch) -> None:
     """No test waits for it: what it decides comes before."""
-    monkeypatch.setattr(net, "HOLD", 15.0)
+    monkeypatch.setattr(wire, "HOLD", 15.0)
 
 
 class Listener:
@@ -120,13 +121,13 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against endpoints that answer as quickly as ever, but not all that they are sent."""
-    monkeypatch.setattr(net, "HOLD", 0.001)
+    monkeypatch.setattr(wire, "HOLD", 0.001)
     aim = 2.0
 
     async def test() -> None:
         lost = {f"{kind}{n}" for kind in ("tip", "unlock") for n in range(12)}
         classes = [replace(c, aim=aim * 1000.0, deadline=8000.0) for c in CLASSES]
-        balancer, clock = Balancer(Settings(classes=classes, limits=LIMITS, rules=RULES), 1), net.make_clock()
+        balancer, clock = Balancer(Settings(classes=classes, limits=LIMITS, rules=RULES), 1), make_clock()
         async with contextlib.AsyncExitStack() as stack:
             found = [await stack.enter_async_context(serving(swallowing(lost))) for _ in range(3)]
             hosts = known(**{f"e{n}": at for n, (_, at) in enumerate(found)})
--- a/zinclever/net/sidecar.py
+++ b/zinclever/core/ledger.py
@@ -6,24 +6,21 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
-
-import orjson
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
+from types import MappingProxyType
+from typing import Any
 
 from .. import interface as i
 from ..policy import Balancer
-from .discovery import Discovery, read_hosts
-from .endpoints import Endpoints, Exchange
-from .http import Address, Headers, Reply, end_to_end
+from .descriptors import Descriptors
+from .protocol import Ended, Entry, Exchange, Failed, Final, Incoming, OnList, Refused, Served, Source, Wire
 
 log = logging.getLogger(__name__)
 
 EARLY = 15.0  # ms before the client's deadline at which the balancer takes it to pass
 GUARD = 8.0  # ms before the deadline at which a request is answered whatever happens
-MOST_LOAD = 1e6  # in a load report: no endpoint holds or serves more, and no figure is below 0
-HOLD = 0.002  # s, over a round trip: for how long the last byte of what may not be repeated is held back
-RESERVED = 40  # descriptors for the listener, discovery, the loop, the runtime and those being closed
+NO_REPORT: Mapping[str, float] = MappingProxyType({})
 
 
 def make_clock() -> Callable[[], float]:
@@ -32,30 +29,6 @@
     return lambda: time.monotonic_ns() / 1e6 + anchor
 
 
-class Incoming(NamedTuple):
-    """A request as the application sent it."""
-
-    id: str
-    klass: int
-    tenant: int
-    key: str
-    wait: float
-    """How long the client waits, in ms."""
-    work: float
-    retry: bool
-    head: bytes
-    """Request line and the headers that are passed on."""
-    body: bytes
-
-
-class Answer(NamedTuple):
-    """What the application gets."""
-
-    status: int
-    headers: bytes = b""
-    body: bytes = b""
-
-
 class Attempt:
     __slots__ = ("endpoint", "exchange", "number", "outcome", "request", "sent_at", "timer")
 
@@ -69,66 +42,67 @@
 class Request:
     """Kept until it is answered and each of its attempts has its outcome."""
 
-    __slots__ = ("answer", "attempts", "balancer", "deadline", "guard", "live", "told")
+    __slots__ = ("answer", "attempts", "balancer", "deadline", "guard", "live", "reply", "told")
 
     def __init__(self, told: Incoming, deadline: float, balancer: Balancer,
-                 answer: Callable[[Answer], None]) -> None:
+                 answer: Callable[[Final], None]) -> None:
         self.told, self.deadline = told, deadline
         self.balancer = balancer
         """That of its arrival: what its settings allowed then holds to its end."""
-        self.answer: Callable[[Answer], None] | None = answer
+        self.answer: Callable[[Final], None] | None = answer
         self.attempts: list[Attempt] = []
         self.live = 0
+        self.reply: Any = None
+        """The latest failure that an endpoint worded."""
         self.guard: asyncio.TimerHandle | None = None
 
 
-class Sidecar:
-    """One balancer in service, and those before it as long as requests of theirs are open."""
+class Ledger:
+    """The requests of one service: one balancer, and those before it as long as requests of theirs are open.
 
-    def __init__(self, balancer: Balancer, zones: Sequence[str], sockets: int, discovery: Address) -> None:
-        self.balancer, self.settings, self.zones = balancer, balancer.settings, zones
-        self.sockets = sockets
+    Owns every request until it is answered and each of its attempts has its outcome, and with it the
+    exchanges on the wire and the timers. Runs on one loop; nothing here waits.
+    """
+
+    def __init__(self, balancer: Balancer, wire: Wire, source: Callable[[OnList], Source],
+                 descriptors: Descriptors) -> None:
+        self.balancer, self.settings = balancer, balancer.settings
+        self.wire, self.descriptors = wire, descriptors
         self.loop = asyncio.get_running_loop()
         self.clock = make_clock()
-        settings = self.settings
-        limits = settings.limits
-        self.endpoints = Endpoints(limits.connect_timeout, limits.connection_idle, sockets - RESERVED)
-        self.discovery = Discovery(
-            discovery, limits.connect_timeout, settings.discovery == "pushed", self.on_list,
-            settings.group_size,
-        )
+        self.configure_wire()
         self.requests: dict[str, Request] = {}
-        self.hosts: dict[str, dict[str, Any]] = {}  # the list of endpoints, as discovery words it
         self.events: deque[tuple[Balancer, i.Event]] = deque()
         self.acting = balancer  # whose actions are carried out
         self.settled: list[Request] = []  # looked at after each event: they may be through
         self.busy = False
         self.ready = False
+        self.source = source(self.on_list)
         self.perform: dict[type, Callable[[Any], None]] = {
             i.Send: self.send,
             i.Cancel: self.cancel,
-            i.Refuse: self.refuse,
-            i.Fail: lambda a: self.finish(a.request, Answer(502)),
+            i.Refuse: lambda a: self.finish(a.request, Refused(a.retry_after)),
+            i.Fail: self.fail,
             i.SetTimer: self.set_timer,
             i.WatchMembership: self.watch,
-            i.FetchMembership: lambda a: self.discovery.fetch(),
-            i.CloseIdle: lambda a: self.endpoints.close_idle(a.endpoint),
+            i.FetchMembership: lambda a: self.source.fetch(),
+            i.CloseIdle: lambda a: self.wire.close_idle(a.endpoint),
             i.Note: lambda a: log.info("%s", a.text),
         }
 
-    def start(self, known: dict[str, Any]) -> None:
+    def configure_wire(self) -> None:
+        limits = self.settings.limits
+        self.wire.configure(limits.connect_timeout, limits.connection_idle)
+
+    def start(self) -> None:
         """Begin with the list as it was last held."""
-        hosts = known.get("hosts") or []
-        self.discovery.start(known.get("seq") if hosts else None)
-        self.on_list("remembered", hosts)
+        self.source.start()
 
-    def adopt(self, balancer: Balancer, zones: Sequence[str], sockets: int) -> None:
+    def adopt(self, balancer: Balancer) -> None:
         """Serve by other settings from now on; what has been taken is finished by those it came under."""
-        self.balancer, self.settings, self.zones, self.sockets = balancer, balancer.settings, zones, sockets
-        limits = self.settings.limits
-        self.endpoints.configure(limits.connect_timeout, limits.connection_idle, sockets - RESERVED)
-        self.discovery.pushed = self.settings.discovery == "pushed"
-        self.feed(i.MembershipNews("remembered", [e for e, _ in read_hosts([*self.hosts.values()], zones)]))
+        self.balancer, self.settings = balancer, balancer.settings
+        self.configure_wire()
+        self.feed(i.MembershipNews("remembered", [entry for entry, _ in self.source.remembered()]))
 
     # --- events ---
 
@@ -167,38 +141,36 @@
         if request is not None and not request.live:
             self.give_up(request)
 
-    def on_list(self, kind: i.ListKind, hosts: list[dict[str, Any]]) -> None:
-        """News from discovery: addresses for the connections, the rest for the balancer."""
-        try:
-            entries = read_hosts(hosts, self.zones)
-        except (LookupError, TypeError, ValueError, AttributeError) as wrong:
-            log.error("list of endpoints: %s: %s", type(wrong).__name__, wrong)
-            kind, entries = "refused", []
-        if kind in ("whole", "remembered"):
-            self.hosts.clear()
-        for (entry, address), raw in zip(entries, hosts, strict=kind != "refused"):
-            if entry.phase == "gone":
-                self.endpoints.forget(entry.endpoint)
-                self.hosts.pop(entry.endpoint, None)
+    def on_list(self, kind: i.ListKind, entries: Sequence[Entry]) -> None:
+        """News of the list: addresses for the wire, the rest for the balancers."""
+        for listed, address in entries:
+            if listed.phase == "gone":
+                self.wire.forget(listed.endpoint)
             else:
-                self.endpoints.place(entry.endpoint, address)
-                self.hosts[entry.endpoint] = raw
-        for endpoint in self.endpoints.pools.keys() - self.hosts.keys():
-            self.endpoints.forget(endpoint)
+                self.wire.place(listed.endpoint, address)
+        if kind in ("whole", "remembered"):
+            present = {listed.endpoint for listed, _ in entries if listed.phase != "gone"}
+            for endpoint in self.wire.listed():
+                if endpoint not in present:
+                    self.wire.forget(endpoint)
         self.ready = self.ready or bool(entries)
-        news = i.MembershipNews(kind, [entry for entry, _ in entries])
+        news = i.MembershipNews(kind, [listed for listed, _ in entries])
         for balancer in {r.balancer for r in self.requests.values()} - {self.balancer}:
             self.feed(news, balancer)
         self.feed(news)
+        for listed, _ in entries:
+            if listed.phase == "draining":
+                # After the balancers have heard: what is turned back here is sent elsewhere.
+                self.wire.drain(listed.endpoint)
 
     def watch(self, action: i.WatchMembership) -> None:
         if self.acting is self.balancer:
-            self.discovery.watch(action.on)
+            self.source.watch(action.on)
 
     # --- requests ---
 
-    def take(self, told: Incoming, answer: Callable[[Answer], None]) -> None:
-        """A request of the application; ``answer`` is called once, unless the client leaves before."""
+    def take(self, told: Incoming, answer: Callable[[Final], None]) -> None:
+        """A request of a client; ``answer`` is called once, unless the client leaves before."""
         now = self.clock()
         request = Request(told, now + told.wait, self.balancer, answer)
         self.requests[told.id] = request
@@ -223,22 +195,23 @@
         log.warning("a request was answered by the guard")
         proved = all(a.outcome in i.NEVER_RAN for a in request.attempts)
         repeat = request.balancer.settings.classes[request.told.klass].repeat
-        self.finish(request.told.id, Answer(503 if proved or repeat == "idempotent" else 502))
+        harmless = proved or repeat == "idempotent"
+        self.finish(request.told.id, Refused() if harmless else Failed(request.reply))
         self.feed(i.RequestClosed(request.told.id), request.balancer)
 
-    def refuse(self, action: i.Refuse) -> None:
-        after = action.retry_after / 1000.0
-        advice = b"Retry-After: %.3f\r\n" % after if after > 0.0 else b""
-        self.finish(action.request, Answer(503, advice))
+    def fail(self, action: i.Fail) -> None:
+        request = self.requests.get(action.request)
+        if request is not None:
+            self.finish(action.request, Failed(request.reply))
 
-    def finish(self, request_id: str, answer: Answer) -> None:
+    def finish(self, request_id: str, final: Final) -> None:
         """The final answer, where none has been given."""
         request = self.requests.get(request_id)
         if request is not None and request.answer is not None:
-            reply = request.answer
+            answer = request.answer
             self.close(request)
             try:
-                reply(answer)
+                answer(final)
             except Exception:
                 # Guards the events that follow: an attempt whose end is not told counts in flight for ever.
                 log.exception("answer not written")
@@ -278,11 +251,9 @@
             return
         left = (expires - now) / 1000.0
         attempt.timer = self.loop.call_later(left, self.expire, attempt)
-        attempt.exchange = self.endpoints.start(
-            action.endpoint,
-            b"%bReq-Deadline: %.3f\r\n\r\n%b" % (request.told.head, left, request.told.body),
-            lambda outcome, reply: self.ended(attempt, outcome, reply),
-            HOLD if repeat == "at_most_once" else 0.0,
+        ended: Ended = partial(self.ended, attempt)
+        attempt.exchange = self.wire.start(
+            action.endpoint, request.told.payload, left, ended, repeat == "at_most_once"
         )
 
     def expire(self, attempt: Attempt) -> None:
@@ -297,10 +268,11 @@
         """Stop waiting for an attempt."""
         if attempt.outcome is None:
             if attempt.exchange is not None:
-                attempt.exchange.cancel()
+                attempt.exchange.cancel(outcome == "timeout")
             self.ended(attempt, outcome)
 
-    def ended(self, attempt: Attempt, outcome: i.Outcome, reply: Reply | None = None) -> None:
+    def ended(self, attempt: Attempt, outcome: i.Outcome, reply: Any = None,
+              report: Mapping[str, float] = NO_REPORT) -> None:
         """An attempt has its outcome; the first answer served goes to the client."""
         request = attempt.request
         elapsed = self.clock() - attempt.sent_at
@@ -309,10 +281,11 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         request.live -= 1
-        report = read_report(reply) if reply is not None else {}
-        if outcome == "served" and reply is not None and request.answer is not None:
-            headers = end_to_end(reply.headers, b"srv-load")
-            self.finish(request.told.id, Answer(200, headers, reply.body))
+        if reply is not None and request.answer is not None:
+            if outcome == "served":
+                self.finish(request.told.id, Served(reply))
+            else:
+                request.reply = reply
         complete = request.answer is None
         self.settled.append(request)
         self.feed(
@@ -335,32 +308,6 @@
         elif balancer is self.balancer or any(r.balancer is balancer for r in self.requests.values()):
             self.feed(i.TimerFired(action.token), balancer)
 
-    def move_discovery(self, address: Address) -> None:
-        """Discovery is found elsewhere from now on; requests and endpoints are untouched."""
-        self.discovery.move(address)
-
     def stop(self) -> None:
-        self.discovery.stop()
-        self.endpoints.close()
-
-
-def read_report(reply: Reply) -> dict[str, float]:
-    """The load report that came with an answer; one that can't be read is none."""
-    text = reply.header(b"srv-load")
-    if text is None:
-        return {}
-    try:
-        told = orjson.loads(text)
-    except orjson.JSONDecodeError:
-        return {}
-    if not isinstance(told, dict):
-        return {}
-    # Comparisons, as a number too large for a float would raise where it is made one.
-    return {k: float(v) for k, v in told.items() if type(v) in (int, float) and 0 <= v <= MOST_LOAD}
-
-
-def request_head(method: str, target: str, headers: Headers, body: bytes) -> bytes:
-    """The head that goes to every endpoint, but for its last header. A whole body needs no chunks."""
-    length = b"" if not body and method == "GET" else b"Content-Length: %d\r\n" % len(body)
-    passed = end_to_end(headers, b"req-deadline")
-    return b"%b %b HTTP/1.1\r\n%b%b" % (method.encode(), target.encode("latin-1"), passed, length)
+        self.source.stop()
+        self.wire.close()
--- /dev/null
+++ b/zinclever/core/service.py
@@ -0,0 +1,91 @@
+"""A service: a front, a ledger with a balancer of its own, and the address that its clients connect to."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from .ledger import Ledger
+from .protocol import Address
+
+KEEP_FOR = 0.45  # s after SIGTERM for which idle connections stay open; clients hear of it within 0.4 s
+RESEND_FOR = 0.2  # s more in which a request that crossed the end of its connection may come on a new one
+HELD_FOR = 3.0  # s more for what is held; no client of the platform waits longer
+BACKLOG = 1024
+
+
+class Front(Protocol):
+    """A protocol's side towards the clients."""
+
+    def configure(self) -> None:
+        """Take names and limits from the ledger's settings."""
+
+    def connection(self) -> asyncio.BaseProtocol:
+        """For a client that connects."""
+
+    def begin_drain(self) -> None:
+        """The end is near: connections end with their next answer."""
+
+    def close_idle(self) -> None:
+        """Close all connections between requests, at the end."""
+
+    async def all_left(self) -> None:
+        """Wait until no client is connected."""
+
+    def stop(self) -> None: ...
+
+
+@dataclass(slots=True)
+class Service:
+    """Owns its listener from :meth:`listen` to the end of :func:`drain`."""
+
+    name: str
+    address: Address
+    ledger: Ledger
+    front: Front
+    held_for: float = HELD_FOR
+    """s for which what is held may go on at the end."""
+    server: asyncio.Server | None = field(default=None, init=False)
+
+    async def listen(self) -> None:
+        """Begin to take requests. OSError where the address can't be had."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.front.connection, *self.address, backlog=BACKLOG)
+        self.ledger.start()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+
+def each(services: Sequence[Service], act: Callable[[Service], None]) -> None:
+    for service in services:
+        act(service)
+
+
+async def drain(services: Sequence[Service]) -> None:
+    """Go on answering while clients still come, then end with the last answer.
+
+    Clients learn late of a planned restart: whoever connects in the meantime has to be served, and kept
+    connections end with their next answer.
+    """
+    each(services, lambda s: s.front.begin_drain())
+    await asyncio.sleep(KEEP_FOR)
+    each(services, lambda s: s.front.close_idle())
+    await asyncio.sleep(RESEND_FOR)
+    each(services, Service.close)
+    each(services, lambda s: s.front.close_idle())
+    await asyncio.gather(*(finish(s) for s in services))
+
+
+async def finish(service: Service) -> None:
+    """Wait for what a service holds, within its bound."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(service.held_for):
+            await service.front.all_left()
+    service.front.stop()
+    service.ledger.stop()
--- a/zinclever/net/discovery.py
+++ b/zinclever/discovery/catalog.py
@@ -1,4 +1,4 @@
-"""The list of endpoints: asked for, watched, and told to the balancer."""
+"""The platform's discovery: its list of endpoints is asked for, watched, and told to the ledger."""
 
 from __future__ import annotations
 
@@ -10,7 +10,8 @@
 import orjson
 
 from .. import interface as i
-from .http import Address, Broken, ClientConnection, Reply, dial, read_address
+from ..core.protocol import Address, Entry, OnList, read_address
+from ..http1.connection import Broken, ClientConnection, Reply, dial
 
 log = logging.getLogger(__name__)
 
@@ -23,7 +24,7 @@
 PHASES: dict[str, i.Phase] = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 
 
-def read_hosts(hosts: Sequence[dict[str, Any]], zones: Sequence[str]) -> list[tuple[i.Listed, Address]]:
+def read_hosts(hosts: Sequence[dict[str, Any]], zones: Sequence[str]) -> list[Entry]:
     """Entries of the list, each with the address that it has at this sidecar.
 
     The balancer's clock reads Unix time in milliseconds, as ``born_ms`` does.
@@ -118,14 +119,21 @@
 class Discovery:
     """Keeps up with the list, as far as the balancer asks for it."""
 
-    def __init__(self, address: Address, connect_timeout: float, pushed: bool,
-                 on_list: Callable[[i.ListKind, list[dict[str, Any]]], None], sharing: int = 1) -> None:
-        self.wait = min(max(WATCH_EACH * sharing, WATCH_LEAST), WATCH_MOST)
-        self.on_list, self.pushed, self.connect_timeout = on_list, pushed, connect_timeout
+    def __init__(self, address: Address, settings: i.Settings, zones: Sequence[str], known: dict[str, Any],
+                 on_list: OnList) -> None:
+        self.wait = min(max(WATCH_EACH * settings.group_size, WATCH_LEAST), WATCH_MOST)
+        self.on_list, self.known = on_list, known
+        self.connect_timeout = settings.limits.connect_timeout
+        self.configure(settings, zones)
+        self.hosts: dict[str, dict[str, Any]] = {}  # the list, as discovery words it
         self.version: int | None = None
         self.watching = False
         self.connect(address)
 
+    def configure(self, settings: i.Settings, zones: Sequence[str]) -> None:
+        """Read the list by these names from now on."""
+        self.pushed, self.zones = settings.discovery == "pushed", zones
+
     def connect(self, address: Address) -> None:
         self.address = address
         self.watch_call = Call(address, self.connect_timeout, self.watched)
@@ -141,11 +149,33 @@
         self.version = None
         self.watch(True)
 
-    def start(self, version: int | None) -> None:
+    def start(self) -> None:
         """Begin from a list that is known already, if any."""
-        self.version = version
+        hosts = self.known.get("hosts") or []
+        self.version = self.known.get("seq") if hosts else None
         if self.pushed:
             self.watch(True)
+        self.tell("remembered", hosts)
+
+    def remembered(self) -> list[Entry]:
+        return read_hosts([*self.hosts.values()], self.zones)
+
+    def tell(self, kind: i.ListKind, hosts: list[dict[str, Any]]) -> None:
+        """Hand on the entries; news that can't be read are none."""
+        entries: list[Entry] = []
+        try:
+            entries = read_hosts(hosts, self.zones)
+        except (LookupError, TypeError, ValueError, AttributeError) as wrong:
+            log.error("list of endpoints: %s: %s", type(wrong).__name__, wrong)
+            kind = "refused"
+        if kind in ("whole", "remembered"):
+            self.hosts.clear()
+        for (entry, _), raw in zip(entries, hosts, strict=kind != "refused"):
+            if entry.phase == "gone":
+                self.hosts.pop(entry.endpoint, None)
+            else:
+                self.hosts[entry.endpoint] = raw
+        self.on_list(kind, entries)
 
     def watch(self, on: bool) -> None:
         """Begin a watch anew, or leave it.
@@ -175,7 +205,7 @@
         else:
             self.version = version
             self.next_call(self.wait)
-        self.on_list(kind, hosts)
+        self.tell(kind, hosts)
 
     def fetch(self) -> None:
         """The whole list, once."""
@@ -188,7 +218,7 @@
             if self.version is not None and version < self.version:
                 return  # overtaken by the watch
             self.version = version
-        self.on_list(kind, hosts)
+        self.tell(kind, hosts)
 
     def stop(self) -> None:
         self.watching = False
--- a/zinclever/net/http.py
+++ b/zinclever/http1/connection.py
@@ -14,8 +14,9 @@
 
 import httptools
 
+from ..core.protocol import Address
+
 Headers = list[tuple[bytes, bytes]]
-Address = tuple[str, int]
 
 #: Headers that hold for one connection only, and those that the sidecar words itself.
 OWN_HEADERS = frozenset(
@@ -52,14 +53,6 @@
 Done = Callable[[Reply | Broken], None]
 
 
-def read_address(text: str) -> Address:
-    """``host:port`` in two parts."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ValueError(f"not host:port: {text!r}")
-    return host, int(port)
-
-
 def end_to_end(headers: Headers, *more: bytes) -> bytes:
     """Header lines that a proxy passes on: all but those of the connection, and but ``more``.
 
--- a/zinclever/net/server.py
+++ b/zinclever/http1/front.py
@@ -14,8 +14,10 @@
 
 import httptools
 
-from .http import MOST_BODY, MOST_HEAD, Headers
-from .sidecar import Answer, Incoming, Sidecar, request_head
+from ..core.ledger import Ledger
+from ..core.protocol import Final, Incoming, Refused, Served
+from .connection import MOST_BODY, MOST_HEAD, Headers, end_to_end
+from .wire import Payload
 
 log = logging.getLogger(__name__)
 
@@ -38,6 +40,14 @@
 NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
 
 
+class Answer(NamedTuple):
+    """What the application gets."""
+
+    status: int
+    headers: bytes = b""
+    body: bytes = b""
+
+
 class Rejected(Exception):
     """A request that is answered by the server itself and never reaches the balancer."""
 
@@ -49,7 +59,7 @@
     """What a connection waits for."""
 
     READING = "a whole request"
-    BUSY = "an answer from the sidecar"
+    BUSY = "an answer from the ledger"
     WRITING = "its client to read the answer"
     IDLE = "the next request"
     LINGERING = "its client to read a rejection"
@@ -57,31 +67,33 @@
 
 
 class Front:
-    """What the connections share: the sidecar, the settings as names, who is connected and since when."""
+    """What the connections share: the ledger, the settings as names, who is connected and since when."""
 
-    def __init__(self, sidecar: Sidecar) -> None:
-        self.sidecar = sidecar
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger, self.descriptors = ledger, ledger.descriptors
         self.loop = asyncio.get_running_loop()
         self.configure()
         self.since: dict[State, dict[ServerConnection, float]] = {state: {} for state in State}
         """The connections in each state, those longest in it first."""
+        self.clients = 0
         self.sweeper: asyncio.TimerHandle | None = None
         self.draining = False
         self.empty = asyncio.Event()  # set once the last connection has ended while draining
 
     def configure(self) -> None:
-        """Take the names, and the share of descriptors, from the sidecar's settings."""
-        settings = self.sidecar.settings
+        """Take the names, and the share of descriptors, from the ledger's settings."""
+        settings = self.ledger.settings
         self.classes = {c.name: n for n, c in enumerate(settings.classes)}
         self.tenants = {t.name: n for n, t in enumerate(settings.tenants)}
         self.keyed = [c.repeat == "deduplicated" for c in settings.classes]
         self.waits = [c.deadline for c in settings.classes]
-        self.most = max(1, self.sidecar.sockets // SHARE)
-        self.easy = self.sidecar.sockets // EASY
-        self.brief = self.sidecar.sockets // BRIEF
+        limit = self.descriptors.limit
+        self.most = max(1, limit // SHARE)
+        self.easy = limit // EASY
+        self.brief = limit // BRIEF
 
     def count(self) -> int:
-        return self.sidecar.endpoints.clients
+        return self.clients
 
     def joined(self, connection: ServerConnection) -> None:
         """A client has connected: its descriptor comes out of what endpoints may use.
@@ -89,17 +101,19 @@
         Guards against running out of descriptors: beyond the clients' share, or where no connection to an
         endpoint is idle, one of theirs is closed, and it is the new one if all the others are in use.
         """
-        endpoints = self.sidecar.endpoints
-        endpoints.clients += 1
+        descriptors = self.descriptors
+        descriptors.clients += 1
+        self.clients += 1
         self.since[State.READING][connection] = self.loop.time()
-        if endpoints.clients > self.most or (endpoints.full() and not endpoints.evict()):
+        if self.clients > self.most or (descriptors.full() and not descriptors.evict()):
             self.make_room(connection)
         if self.sweeper is None:
             self.sweeper = self.loop.call_later(SWEEP, self.sweep)
 
     def left(self, connection: ServerConnection) -> None:
         self.since[connection.state].pop(connection, None)
-        self.sidecar.endpoints.clients -= 1
+        self.descriptors.clients -= 1
+        self.clients -= 1
         if not self.count():
             self.empty.set()
 
@@ -169,6 +183,12 @@
             for connection in list(self.since[state]):
                 connection.close_idle()
 
+    def connection(self) -> ServerConnection:
+        return ServerConnection(self)
+
+    def begin_drain(self) -> None:
+        self.draining = True
+
     def stop(self) -> None:
         if self.sweeper is not None:
             self.sweeper.cancel()
@@ -184,7 +204,7 @@
         if klass is None:
             raise Rejected(404)
         request_id = named.get(b"req-id", b"").decode("latin-1")
-        if not request_id or request_id in self.sidecar.requests:
+        if not request_id or request_id in self.ledger.requests:
             raise Rejected(400)
         if self.keyed[klass] and not named.get(b"idempotency-key"):
             raise Rejected(400)
@@ -199,8 +219,7 @@
             wait=min(1000.0 * number(named.get(b"req-deadline")), self.waits[klass]),
             work=number(named[b"req-cost"]) / 1000.0 if b"req-cost" in named else 0.0,  # from µs
             retry=named.get(b"req-retry") == b"1",
-            head=request_head(method, target, headers, body),
-            body=body,
+            payload=Payload(request_head(method, target, headers, body), body),
         )
 
 
@@ -262,7 +281,7 @@
         self.queue.clear()
         del self.parser  # which refers back
         if self.request_id is not None:
-            self.front.sidecar.leave(self.request_id)
+            self.front.ledger.leave(self.request_id)
 
     def data_received(self, data: bytes) -> None:
         self.raw += len(data)
@@ -354,12 +373,23 @@
         self.keep = whole.keep
         self.front.enter(self, State.BUSY)
         if whole.method == "GET" and whole.target == HEALTH:
-            self.answer(Answer(200 if self.front.sidecar.ready else 500))
+            self.answer(Answer(200 if self.front.ledger.ready else 500))
             return
         told = self.front.read(whole.method, whole.target, whole.headers, whole.body)
         waited = 1000.0 * (self.front.loop.time() - whole.at)
         self.request_id = told.id
-        self.front.sidecar.take(told._replace(wait=max(0.0, told.wait - waited)), self.answer)
+        self.front.ledger.take(told._replace(wait=max(0.0, told.wait - waited)), self.finish)
+
+    def finish(self, final: Final) -> None:
+        """The ledger's final answer."""
+        if isinstance(final, Served):
+            reply = final.reply
+            self.answer(Answer(200, end_to_end(reply.headers, b"srv-load"), reply.body))
+        elif isinstance(final, Refused):
+            after = final.retry_after / 1000.0
+            self.answer(Answer(503, b"Retry-After: %.3f\r\n" % after if after > 0.0 else b""))
+        else:
+            self.answer(Answer(502))
 
     def answer(self, answer: Answer) -> None:
         """The answer to the request that is out."""
@@ -458,3 +488,10 @@
         b"" if keep else b"Connection: close\r\n",
         answer.body,
     )
+
+
+def request_head(method: str, target: str, headers: Headers, body: bytes) -> bytes:
+    """The head that goes to every endpoint, but for its last header. A whole body needs no chunks."""
+    length = b"" if not body and method == "GET" else b"Content-Length: %d\r\n" % len(body)
+    passed = end_to_end(headers, b"req-deadline")
+    return b"%b %b HTTP/1.1\r\n%b%b" % (method.encode(), target.encode("latin-1"), passed, length)
--- /dev/null
+++ b/zinclever/http1/wire.py
@@ -0,0 +1,104 @@
+"""Attempts on HTTP/1.1 endpoints: what is written, and what an answer proves."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import orjson
+
+from .. import interface as i
+from ..core.descriptors import Descriptors
+from ..core.pools import ExclusivePools
+from ..core.protocol import Ended
+from .connection import Broken, ClientConnection, Reply, dial
+
+HOLD = 0.002  # s, over a round trip: for how long the last byte of what may not be repeated is held back
+MOST_LOAD = 1e6  # in a load report: no endpoint holds or serves more, and no figure is below 0
+
+
+class Payload(NamedTuple):
+    """What goes to an endpoint, but for the header that tells how long it is waited for."""
+
+    head: bytes
+    """Request line and the headers that are passed on."""
+    body: bytes
+
+
+def outcome_of(reply: Reply) -> i.Outcome:
+    """What an endpoint's whole answer means; only a marked 503 or 504 proves that nothing ran."""
+    if reply.status == 200:
+        return "served"
+    if reply.status in (503, 504) and reply.header(b"srv-declined") == b"1":
+        return "full"
+    return "error"
+
+
+class Exchange:
+    """One attempt on the wire: waiting for its connection, then for its answer."""
+
+    __slots__ = ("connection", "data", "ended", "hold")
+
+    def __init__(self, data: bytes, ended: Ended, hold: float) -> None:
+        self.data, self.hold = data, hold
+        self.ended: Ended | None = ended
+        self.connection: ClientConnection | None = None
+
+    def waiting(self) -> bool:
+        return self.ended is not None
+
+    def end(self, outcome: i.Outcome, reply: Reply | None = None) -> None:
+        ended, self.ended = self.ended, None
+        self.connection = None
+        if ended is not None:
+            ended(outcome, reply, read_report(reply) if reply is not None else {})
+
+    def run(self, connection: ClientConnection) -> None:
+        self.connection = connection
+        connection.request(self.data, self.done, self.hold)
+
+    def done(self, result: Reply | Broken) -> None:
+        if isinstance(result, Reply):
+            self.end(outcome_of(result), result)
+        else:
+            self.end("dropped" if result.unsent else "reset")
+
+    def begun(self) -> bool:
+        """Whether the endpoint may have the whole request."""
+        return self.connection is not None and self.connection.held is None
+
+    def cancel(self, silent: bool) -> None:
+        """Stop waiting and end the connection. Nothing is reported."""
+        self.ended = None
+        if self.connection is not None:
+            self.connection.abort()
+            self.connection = None
+
+
+class HttpWire(ExclusivePools[ClientConnection]):
+    """Attempts on endpoints that speak HTTP/1.1, one at a time on a connection."""
+
+    def __init__(self, descriptors: Descriptors) -> None:
+        super().__init__(dial, descriptors)
+
+    def start(self, endpoint: str, payload: Payload, left: float, ended: Ended, unsafe: bool) -> Exchange:
+        """Begin an attempt that is waited for ``left`` seconds. The last byte of an unsafe one is held back:
+        most connections that break do so before."""
+        data = b"%bReq-Deadline: %.3f\r\n\r\n%b" % (payload.head, left, payload.body)
+        exchange = Exchange(data, ended, HOLD if unsafe else 0.0)
+        self.carry(endpoint, exchange)
+        return exchange
+
+
+def read_report(reply: Reply) -> dict[str, float]:
+    """The load report that came with an answer; one that can't be read is none."""
+    text = reply.header(b"srv-load")
+    if text is None:
+        return {}
+    try:
+        told = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        return {}
+    if not isinstance(told, dict):
+        return {}
+    # Comparisons, as a number too large for a float would raise where it is made one.
+    return {k: float(v) for k, v in told.items() if type(v) in (int, float) and 0 <= v <= MOST_LOAD}
