JSON-RPC over TCP: a thin path from client to endpoint, by operator file

Need: creator tools and the payment bridge speak JSON-RPC past the sidecar. Without the variable nothing is loaded and nothing changes.

--- a/zinclever/assembly.py
+++ b/zinclever/assembly.py
@@ -2,16 +2,30 @@
 
 from __future__ import annotations
 
+import logging
+from collections.abc import Mapping
+from random import SystemRandom
+from typing import TYPE_CHECKING
+
 from .config import Config
 from .core.descriptors import Descriptors
-from .core.ledger import Ledger
+from .core.ledger import EARLY, Ledger
+from .core.protocol import OnList, Source
 from .core.service import Service
 from .discovery.catalog import Discovery
+from .discovery.fixed import Fixed
 from .http1.front import Front
 from .http1.wire import HttpWire
 from .policy import Balancer
 
+if TYPE_CHECKING:  # loaded where there is an operator file: the platform's sidecar lives in little memory
+    from .operator import Operator
+    from .operator.jsonrpc import JsonRpcService
+
+log = logging.getLogger(__name__)
+
 PLATFORM = "platform"
+SOCKETS = 1024  # descriptors, where no configuration tells how many there are
 
 
 class Platform:
@@ -33,6 +47,8 @@
     def adopt(self, config: Config) -> None:
         """Put into service what differs from the configuration before."""
         before, self.config = self.config, config
+        if config.listen != before.listen:
+            log.warning("configuration: listen takes effect at the next start only")
         kept = (before.settings, before.zones, before.sockets)
         if (config.settings, config.zones, config.sockets) != kept:
             self.descriptors.configure(config.sockets)
@@ -41,3 +57,75 @@
             self.front.configure()
         if config.discovery != self.discovery.address:
             self.discovery.move(config.discovery)
+
+
+class JsonRpc:
+    """A JSON-RPC service, as the operator file words it."""
+
+    def __init__(self, told: JsonRpcService, seed: int, descriptors: Descriptors) -> None:
+        from .jsonrpc.front import Front as JsonRpcFront
+        from .jsonrpc.wire import JsonRpcWire
+
+        self.told, self.seed = told, seed
+        self.wire = JsonRpcWire(told.rules.framing, told.proofs, descriptors)
+        self.ledger = Ledger(Balancer(told.common.settings, seed), self.wire, self.source, descriptors)
+        self.front = JsonRpcFront(self.ledger, told.rules)
+        longest = max(c.deadline for c in told.common.settings.classes)
+        self.service = Service(told.name, told.listen, self.ledger, self.front, (longest + EARLY) / 1000.0)
+
+    def source(self, on_list: OnList) -> Source:
+        common = self.told.common
+        if common.discovery is None:
+            return Fixed(common.endpoints, on_list)
+        return Discovery(common.discovery, common.settings, common.zones, {}, on_list)
+
+    def adopt(self, told: JsonRpcService) -> None:
+        """Put into service what differs from the file before, but for what a connection is made with."""
+        before, self.told = self.told, told
+        moved = (told.common.discovery is None) != (before.common.discovery is None)
+        if moved or (told.listen, told.rules.framing) != (before.listen, before.rules.framing):
+            log.warning("services.%s: listen, framing, and a change between endpoints and discovery take "
+                        "effect at the next start only", told.name)
+        self.wire.proofs = told.proofs
+        source = self.ledger.source
+        if isinstance(source, Discovery):
+            source.configure(told.common.settings, told.common.zones)
+        if told.common.settings != before.common.settings:
+            self.ledger.adopt(Balancer(told.common.settings, self.seed))
+        self.front.adopt(told.rules._replace(framing=self.wire.framing))
+        if isinstance(source, Fixed) and told.common.endpoints != before.common.endpoints:
+            source.replace(told.common.endpoints)
+        elif isinstance(source, Discovery) and told.common.discovery not in (None, source.address):
+            source.move(told.common.discovery)
+
+
+def told_services(operator: Operator | None) -> Mapping[str, JsonRpcService]:
+    return operator.services if operator is not None else {}
+
+
+class Assembly:
+    """Every service of the process."""
+
+    def __init__(self, config: Config | None, operator: Operator | None) -> None:
+        self.descriptors = Descriptors(config.sockets if config is not None else SOCKETS)
+        seed = config.seed if config is not None else SystemRandom().getrandbits(64)
+        self.platform = Platform(config, self.descriptors) if config is not None else None
+        self.others = {
+            name: JsonRpc(told, seed + n, self.descriptors)
+            for n, (name, told) in enumerate(told_services(operator).items(), 1)
+        }
+
+    def services(self) -> list[Service]:
+        first = [self.platform.service] if self.platform is not None else []
+        return first + [other.service for other in self.others.values()]
+
+    def adopt(self, config: Config | None, operator: Operator | None) -> None:
+        """Put into service what differs from before. Services come and go at the next start only."""
+        if config is not None and self.platform is not None:
+            self.platform.adopt(config)
+        services = told_services(operator)
+        for name, told in services.items():
+            if name in self.others:
+                self.others[name].adopt(told)
+        if services.keys() != self.others.keys():
+            log.warning("services that are new or left out take effect at the next start only")
--- /dev/null
+++ b/zinclever/jsonrpc/wire.py
@@ -0,0 +1,38 @@
+"""Calls on JSON-RPC endpoints over shared connections."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from .. import interface as i
+from ..core.descriptors import Descriptors
+from ..core.protocol import Address, Ended
+from ..core.shared import SharedPools, Watcher
+from .codec import Response
+from .connection import ClientConnection, Exchange, Payload, Proofs, dial
+from .framing import Framing
+
+
+class JsonRpcWire(SharedPools[ClientConnection]):
+    """Calls on endpoints, many on a connection."""
+
+    def __init__(self, framing: Framing, proofs: Proofs, descriptors: Descriptors) -> None:
+        super().__init__(self.open, descriptors)
+        self.framing, self.proofs = framing, proofs
+        self.counts: Counter[str] = Counter()
+        """What endpoints sent that answered no pending call, by kind."""
+
+    async def open(self, address: Address, timeout: float,
+                   watcher: Watcher[ClientConnection]) -> ClientConnection:
+        return await dial(address, timeout, self.framing, self.outcome, watcher, self.counts)
+
+    def outcome(self, response: Response) -> i.Outcome:
+        """By what holds now: a reload changes it for connections that are open, too."""
+        return self.proofs.outcome(response)
+
+    def start(self, endpoint: str, payload: Payload, left: float, ended: Ended, unsafe: bool) -> Exchange:
+        """Begin a call. ``left`` and ``unsafe`` change nothing: a shared connection can't hold a byte back
+        without holding back the neighbours', and JSON-RPC has no place for a deadline."""
+        exchange = Exchange(payload, ended)
+        self.carry(endpoint, exchange)
+        return exchange
