Stand-ins, an auditor of the four rules, and JSON-RPC's tests on sockets

Tests cause batches, ids, limits, clients that leave or don't read, drains told by discovery, copies.

--- /dev/null
+++ b/standins/clients.py
@@ -0,0 +1,184 @@
+"""Clients that note what they asked and were answered."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+from dataclasses import dataclass
+from typing import Any, Literal, Self
+
+from .jsonrpc_endpoint import read, write
+from .log import Answered, Asked, Effect, Kind, Left, Log
+
+REFUSED, FAILED = -32050, -32051
+
+
+@dataclass(frozen=True, slots=True)
+class Klass:
+    """A class as its clients know it."""
+
+    name: str
+    method: str
+    """JSON-RPC: the method of this class."""
+    effect: Effect
+    wait: float
+    """ms"""
+    window: float = 0.0
+    group: Literal["all", "zone"] = "all"
+
+
+class JsonRpcClient:
+    """One connection, many calls at once; each call's ``params.call`` is its name in the log."""
+
+    _names = itertools.count(1)
+
+    def __init__(self, log: Log, framing: str = "lines") -> None:
+        self.log, self.framing = log, framing
+        self.waiting: dict[str, tuple[str, asyncio.Future[Any]]] = {}
+        """Calls by their id as written: their name, and their response to come."""
+        self.stray: list[Any] = []
+        """What came for no call of ours."""
+        self.ended = asyncio.Event()
+
+    async def connect(self, address: str) -> Self:
+        host, _, port = address.partition(":")
+        self.reader, self.writer = await asyncio.open_connection(host, int(port), limit=1 << 23)
+        self.task = asyncio.ensure_future(self.listen())
+        return self
+
+    async def close(self) -> None:
+        """Leave, with whatever is unanswered."""
+        for name, _ in self.waiting.values():
+            self.log.left.append(Left(self.log.clock(), name))
+        self.waiting.clear()
+        self.writer.transport.abort()
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    def call(self, klass: Klass, key: str = "", id: str | None = None,
+             name: str = "") -> asyncio.Future[Any]:
+        """Send one call; its future holds the response object."""
+        text, future = self.prepare(klass, key, id, name)
+        self.writer.write(write(self.framing, text))
+        return future
+
+    def prepare(self, klass: Klass, key: str = "", id: str | None = None,
+                name: str = "") -> tuple[bytes, asyncio.Future[Any]]:
+        """A call's text, noted as sent from now on; ``id``: a JSON token."""
+        number = next(self._names)
+        name = name or f"c{number}"
+        token = id if id is not None else str(number)
+        params = {"call": name, "key": key or name}
+        text = f'{{"jsonrpc":"2.0","method":"{klass.method}","params":{json.dumps(params)},"id":{token}}}'
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self.waiting[token] = name, future
+        self.log.asked.append(Asked(
+            self.log.clock(), name, klass.effect, klass.wait, key or name, klass.group, klass.window
+        ))
+        return text.encode(), future
+
+    def notify(self, klass: Klass) -> str:
+        """Send a notification; its name."""
+        name = f"n{next(self._names)}"
+        params = json.dumps({"call": name, "key": name})
+        text = f'{{"jsonrpc":"2.0","method":"{klass.method}","params":{params}}}'
+        self.log.asked.append(Asked(
+            self.log.clock(), name, klass.effect, klass.wait, name, klass.group, klass.window, answered=False
+        ))
+        self.writer.write(write(self.framing, text.encode()))
+        return name
+
+    def raw(self, text: bytes) -> None:
+        self.writer.write(write(self.framing, text))
+
+    async def listen(self) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while text := await read(self.framing, self.reader):
+                told = json.loads(text, parse_float=lambda token: {"token": token})
+                for one in told if isinstance(told, list) else [told]:
+                    self.take(one, told)
+        self.ended.set()
+        for _, future in self.waiting.values():
+            if not future.done():
+                future.set_exception(ConnectionResetError("ended with calls unanswered"))
+                future.exception()
+
+    def take(self, one: Any, whole: Any) -> None:
+        id = one["id"]
+        token = id["token"] if isinstance(id, dict) else json.dumps(id)
+        if token not in self.waiting:
+            self.stray.append(whole)
+            return
+        name, future = self.waiting.pop(token)
+        kind, made = read_kind(one)
+        self.log.answered.append(Answered(self.log.clock(), name, kind, made))
+        if not future.done():
+            future.set_result(one)
+
+
+def read_kind(response: Any) -> tuple[Kind, str]:
+    """What a response means to its client."""
+    if "result" in response:
+        return "served", response["result"]["made"]
+    code = response["error"]["code"]
+    if code == REFUSED:
+        return "refused", ""
+    return ("failed" if code == FAILED else "rejected"), ""
+
+
+class HttpClient:
+    """One connection, one request at a time."""
+
+    _names = itertools.count(1)
+
+    def __init__(self, log: Log, address: str) -> None:
+        self.log, self.address = log, address
+        self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def call(self, klass: Klass, key: str = "") -> Kind:
+        """Send one request and wait for its answer; once more if the connection it went on was ending."""
+        name = f"h{next(self._names)}"
+        self.log.asked.append(Asked(
+            self.log.clock(), name, klass.effect, klass.wait, key or name, klass.group, klass.window
+        ))
+        reused = self.streams is not None
+        answer = await self.exchange(klass, name, key or name)
+        if answer is None and reused:
+            answer = await self.exchange(klass, name, key or name)
+        if answer is None:
+            return "failed"
+        status, body = answer
+        kind: Kind = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
+        self.log.answered.append(Answered(self.log.clock(), name, kind, body))
+        return kind
+
+    async def exchange(self, klass: Klass, name: str, key: str) -> tuple[int, str] | None:
+        """Status and body, or None where the connection ended without an answer."""
+        if self.streams is None:
+            host, _, port = self.address.partition(":")
+            self.streams = await asyncio.open_connection(host, int(port))
+        reader, writer = self.streams
+        method = "GET" if klass.effect == "idempotent" else "POST"
+        keyed = f"Idempotency-Key: {key}\r\n" if klass.effect == "deduplicated" else ""
+        length = "" if method == "GET" else "Content-Length: 0\r\n"
+        writer.write(
+            f"{method} /{klass.name}/x HTTP/1.1\r\nHost: x\r\nReq-Id: {name}\r\n"
+            f"Req-Deadline: {klass.wait / 1000.0:.3f}\r\n{keyed}{length}\r\n".encode()
+        )
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+            size = int(head.split("content-length:")[1].split("\r\n")[0])
+            body = (await reader.readexactly(size)).decode()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.close()
+            return None
+        if "connection: close" in head:
+            self.close()
+        return int(head.split()[1]), body
+
+    def close(self) -> None:
+        if self.streams is not None:
+            self.streams[1].transport.abort()
+            self.streams = None
--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,98 @@
+"""What endpoints of every protocol share: the listener, the log, drains and cold starts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from typing import Self
+
+from .faults import UNDONE, Fault, Plan, Step, always
+from .log import Log, Received, Started
+
+_serial = itertools.count(1)
+
+
+class Endpoint:
+    """A server on a port of its own. Use it as an asynchronous context; it ends with all its connections."""
+
+    def __init__(self, log: Log, plan: Plan | None = None, zone: str = "a", name: str = "") -> None:
+        self.log, self.plan, self.zone = log, plan or always(), zone
+        self.given_name = name
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.connections = 0
+        """How many were ever accepted."""
+        self.arrived = asyncio.Condition()
+        """Notified with each request that has come."""
+
+    async def __aenter__(self) -> Self:
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0, limit=1 << 21)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def name(self) -> str:
+        """As discovery lists it."""
+        return self.given_name or self.address
+
+    def start_cold(self, capacity: float) -> None:
+        """Note a start from now on: ``capacity`` requests a second when warm."""
+        self.log.started.append(Started(self.log.clock(), self.name, capacity))
+
+    async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.writers.add(writer)
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+                await self.converse(reader, writer)
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Read requests until the client ends."""
+        raise NotImplementedError
+
+    def receive(self, request: str, first: float) -> tuple[Step, str]:
+        """Note a request, and say what is done with it and what its answer bears."""
+        step = self.plan(request)
+        ran = step.fault not in UNDONE
+        made = f"{self.name}#{next(_serial)}" if ran else ""
+        self.log.received.append(Received(
+            first, self.log.clock(), request, self.name, self.zone, ran, step.fault is Fault.DECLINE, made
+        ))
+        self.spawn(self.notify())
+        return step, made
+
+    async def notify(self) -> None:
+        async with self.arrived:
+            self.arrived.notify_all()
+
+    async def until_received(self, count: int) -> None:
+        """Wait until so many requests have come here."""
+        async with self.arrived:
+            await self.arrived.wait_for(lambda: len(self.requests()) >= count)
+
+    def requests(self) -> list[str]:
+        """The requests that have come here, in order."""
+        return [r.request for r in self.log.received if r.endpoint == self.name]
+
+    def spawn(self, work: object) -> None:
+        """Let something go on until it or the endpoint ends."""
+        assert asyncio.iscoroutine(work)
+        task: asyncio.Task[None] = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/standins/http_endpoint.py
@@ -0,0 +1,44 @@
+"""An HTTP/1.1 endpoint of the platform's protocol. ``Req-Id`` names the request."""
+
+from __future__ import annotations
+
+import asyncio
+
+from .endpoint import Endpoint
+from .faults import Fault
+
+SPOILT = b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nxxxx"
+ERROR = b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
+DECLINED = b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class HttpEndpoint(Endpoint):
+    """One request at a time on a connection, as its plan says."""
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while start := await reader.read(1):
+            first = self.log.clock()
+            head = (start + await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            headers = dict(
+                (name.lower(), value.strip())
+                for name, _, value in (line.partition(":") for line in head.split("\r\n")[1:] if line)
+            )
+            await reader.readexactly(int(headers.get("content-length", "0")))
+            step, made = self.receive(headers["req-id"], first)
+            if step.delay:
+                await asyncio.sleep(step.delay)
+            good = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(made), made.encode())
+            if step.fault in (Fault.SILENCE, Fault.SWALLOW):
+                await reader.read(1)  # until the client gives up
+                return
+            if step.fault is Fault.BREAK_BEFORE:
+                return
+            if step.fault is Fault.BREAK_AT:
+                writer.write(good[: step.at_byte])
+                writer.close()
+                return
+            kinds = {
+                Fault.NONE: good, Fault.SPOILT: SPOILT, Fault.BEYOND: good + b"\x00noise", Fault.ERROR: ERROR,
+                Fault.DECLINE: DECLINED,
+            }
+            writer.write(kinds[step.fault])
--- a/zinclever/jsonrpc/connection.py
+++ b/zinclever/jsonrpc/connection.py
@@ -118,8 +118,8 @@
         """Those of which no byte has gone."""
         self.abandoned: set[int] = set()
         self.partial: Exchange | None = None
-        self.rest = b""
-        """What is still to be written of the text that is half out."""
+        self.framed = self.rest = b""
+        """The text that is half out, and what is still to be written of it."""
         self.spoilt = 0
         """Texts that were cut short: each may be owed an error with id null."""
         self.flushing = self.blocked = self.retired = self.lost = False
@@ -242,7 +242,8 @@
         for n, (text, call) in enumerate(zip(texts[1:], calls, strict=True)):
             if sent < len(text):
                 if sent:
-                    call.state, self.partial, self.rest = State.PARTIAL, call, text[sent:]
+                    call.state, self.partial = State.PARTIAL, call
+                    self.framed, self.rest = text, text[sent:]
                     n += 1
                 self.queue.extendleft(reversed(calls[n:]))
                 return False
@@ -271,7 +272,7 @@
         """
         self.calls.pop(call.id, None)
         if call.state is State.PARTIAL and self.partial is call:
-            self.rest = spoil(self.framing, len(self.rest))
+            self.rest = spoil(self.framing, self.framed, len(self.framed) - len(self.rest))
             self.partial = None
             self.spoilt += 1
         elif call.state is State.WRITTEN:
--- a/zinclever/jsonrpc/framing.py
+++ b/zinclever/jsonrpc/framing.py
@@ -29,10 +29,13 @@
     return text + b"\n" if framing == "lines" else b"Content-Length: %d\r\n\r\n%b" % (len(text), text)
 
 
-def spoil(framing: Framing, left: int) -> bytes:
-    """What ends a text that was cut short, with ``left`` bytes to go, so that no peer can take it for whole
+def spoil(framing: Framing, framed: bytes, sent: int) -> bytes:
+    """What ends a framed text of which only ``sent`` bytes have gone, so that no peer can take it for whole
     and the next one is read rightly."""
-    return b"\n" if framing == "lines" else b" " * left
+    if framing == "lines":
+        return b"\n"
+    head = framed[sent : framed.index(_END) + len(_END)]
+    return head + b" " * (len(framed) - sent - len(head))
 
 
 class Framer:
