--- a/tests/rpc.py
+++ b/tests/rpc.py
@@ -121,10 +121,16 @@
 
     def __init__(self, log: Log) -> None:
         super().__init__(log)
+        self.gate: asyncio.Event | None = None
+        """Until it is set, nothing is read."""
         self.came: asyncio.Queue[tuple[dict[str, Any], asyncio.StreamWriter]] = asyncio.Queue()
 
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while text := await read(self.framing, reader):
+        while True:
+            if self.gate is not None:
+                await self.gate.wait()
+            if not (text := await read(self.framing, reader)):
+                return
             told = json.loads(text)
             self.receive(told["params"]["call"], self.log.clock())
             self.came.put_nowait((told, writer))
--- /dev/null
+++ b/tests/test_fault_day.py
@@ -0,0 +1,132 @@
+"""The same day of faults over HTTP and over JSON-RPC, through the program as it is started: no breach."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+from loopback import closed_port, run
+from rpc import operator
+from test_jsonrpc_program import started, write
+from test_program import config
+
+from standins import Log, Terms, audit, seeded
+from standins.clients import HttpClient, JsonRpcClient, Klass
+from standins.day import MOST_DELAY, SHARES, Day, ask_http, ask_jsonrpc, change
+from standins.discovery import Discovery
+from standins.endpoint import Endpoint
+from standins.http_endpoint import HttpEndpoint
+from standins.jsonrpc_endpoint import JsonRpcEndpoint
+
+SEEDS = [1, 2, 3]
+WAIT = 1200.0  # ms
+WINDOW = 800.0  # ms, under the wait: so that a repeat after it would show
+CLASSES = [
+    Klass("read", "page.get", "idempotent", WAIT),
+    Klass("unlock", "unlock.buy", "deduplicated", WAIT, window=WINDOW, group="zone"),
+    Klass("tip", "tip.send", "at_most_once", WAIT),
+]
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {"name": k.name, "aim": WAIT / 4, "deadline": WAIT, "repeat": k.effect, "window": k.window,
+         "group": k.group}
+        for k in CLASSES
+    ],
+    "limits": {"attempts-cap": 3, "cancel": True, "second-copies": True, "dial-timeout": 250.0,
+               "retry-after": True, "max-retry-after": 1000.0},
+    "rules": {"stop-sending-within": 1000.0, "cold-share": 0.2, "cold": 10000.0, "overload-factor": 3.0,
+              "fall": 2000.0},
+    "registry-mode": "on_request", "zones": ["a", "b"], "zone": 0,
+}
+#: The machine of a CI run may stall for a while; a breach by a design fault is off by far more.
+TERMS = Terms(slack=600.0)
+
+
+class Side:
+    """One protocol's discovery, endpoints and log."""
+
+    def __init__(self, stack: AsyncExitStack, kind: type[Endpoint], seed: int) -> None:
+        self.stack, self.kind, self.seed = stack, kind, seed
+        self.log = Log()
+
+    async def open(self) -> Side:
+        self.discovery = await self.stack.enter_async_context(Discovery(self.log))
+        self.endpoints = []
+        for n in range(4):
+            plan = seeded(10 * self.seed + n, SHARES, MOST_DELAY)
+            made = self.kind(self.log, plan, "ab"[n % 2])
+            self.endpoints.append(await self.stack.enter_async_context(made))
+            await self.discovery.set(made)
+        return self
+
+    async def known(self) -> None:
+        """Until the sidecar has been told the list."""
+        for endpoint in self.endpoints:
+            await self.discovery.until_told(endpoint)
+
+
+def judged(side: Side) -> tuple[Sequence[Any], dict[str, int]]:
+    kinds: dict[str, int] = {}
+    for answer in side.log.answered:
+        kinds[answer.kind] = kinds.get(answer.kind, 0) + 1
+    return audit(side.log, TERMS), kinds
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_day_of_faults_breaks_no_rule(tmp_path: Path, seed: int) -> None:
+    """Guards against a rule that holds in one protocol only. The seed is in the test's name."""
+
+    async def test() -> None:
+        at = closed_port()
+        async with AsyncExitStack() as stack:
+            http = await Side(stack, HttpEndpoint, seed).open()
+            rpc = await Side(stack, JsonRpcEndpoint, seed).open()
+            text = operator(
+                f'discovery = "{rpc.discovery.address}"', listen=at, deadline=WAIT, aim=WAIT / 4,
+                group="zone", more='zones = ["a", "b"]\nzone = "a"\nmax_attempts = 3',
+            ).replace("window_ms = 12000", f"window_ms = {WINDOW}")
+            env = write(tmp_path, text)
+            env |= config(tmp_path, settings=SETTINGS, discovery=http.discovery.address)
+            async with started(env, at) as program:
+                over, rng = asyncio.Event(), Random(seed)
+                http_clients = [HttpClient(http.log, env["LB_LISTEN"]) for _ in range(6)]
+                rpc_clients = [JsonRpcClient(rpc.log) for _ in range(4)]
+                await http.known()
+                await rpc.known()
+                asking = [
+                    asyncio.ensure_future(ask_http(c, CLASSES, Random(rng.random()), over))
+                    for c in http_clients
+                ] + [
+                    asyncio.ensure_future(ask_jsonrpc(c, at, CLASSES, Random(rng.random()), over))
+                    for c in rpc_clients
+                ]
+
+                def reload() -> None:
+                    path = Path(env["ZINCLEVER_OPERATOR"])
+                    text = path.read_text()
+                    assert "max_attempts = 3" in text or "max_attempts = 4" in text
+                    path.write_text(text.replace("max_attempts = 3", "max_attempts = 4"))
+                    program.send_signal(signal.SIGHUP)
+
+                day = Day(seed)
+                await asyncio.gather(
+                    change(day, http.discovery, http.endpoints, reload),
+                    change(day, rpc.discovery, rpc.endpoints, reload),
+                )
+                over.set()
+                await asyncio.gather(*asking)
+            for side in (http, rpc):
+                breaches, kinds = judged(side)
+                assert not breaches, (seed, breaches)
+                # A day on which nothing happened would prove nothing.
+                assert kinds["served"] > 100 and kinds["failed"] > 5, kinds
+                assert all(side.log.ran(a.request) <= 1 for a in side.log.asked
+                           if a.effect == "at_most_once")
+
+    run(test)
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -120,6 +120,23 @@
     run(test)
 
 
+def test_client_that_does_not_read_is_not_read() -> None:
+    """... long before it is dropped: what it would be owed has a bound."""
+
+    async def test() -> None:
+        async with service(always()) as s:
+            _, writer = await asyncio.open_connection(*s.address.split(":"), limit=1024)
+            text = b'{"jsonrpc":"2.0","method":1,"id":"%b"}\n' % (b"x" * 60_000)
+            while not any(c.paused for c in s.made.front.connections):
+                writer.write(text)
+                await asyncio.sleep(0)
+            connection, = s.made.front.connections
+            assert not connection.transport.is_reading()
+            writer.transport.abort()
+
+    run(test)
+
+
 @pytest.mark.parametrize(("text", "code"), [
     (b"[]", codec.INVALID_REQUEST),
     (b"[" + b",".join([ONE] * 10_000) + b"]", codec.INVALID_REQUEST),
