--- a/zinclever/jsonrpc/connection.py
+++ b/zinclever/jsonrpc/connection.py
@@ -149,7 +149,11 @@
         attempt.id = self.issued
         self.calls[attempt.id] = attempt
         self.queue.append(attempt)
-        if not self.flushing and not self.blocked:
+        if self.flushing or self.blocked:
+            return
+        if len(self.calls) == 1:
+            self.flush()
+        else:
             # Once a turn of the loop: many calls then share one write.
             self.flushing = True
             self.loop.call_soon(self.flush)
@@ -208,7 +212,7 @@
                 sent = 0
             except OSError:
                 self.queue.extendleft(reversed(calls))
-                self.abort()
+                self.loop.call_soon(self.abort)  # never within the start of an attempt
                 return
             if not self.account(texts, calls, sent):
                 self.block()
