--- a/zinclever/configuration/check.py
+++ b/zinclever/configuration/check.py
@@ -75,7 +75,7 @@
     values, found = parse_json(data)
     if values is None:
         return Report("platform", None, {}, found)
-    clean, more = shape(values, model.PLATFORM)
+    clean, more = shape(values, model.PLATFORM, open=True)
     found += more
     found += relations.platform(clean)
     return Report("platform", values, clean, found)
--- a/zinclever/configuration/positions.py
+++ b/zinclever/configuration/positions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from collections.abc import Iterator
 
@@ -14,6 +15,7 @@
 from .findings import Finding, Path
 
 Place = tuple[int, int]
+_CONSTANT = re.compile(rb"(?<=[\s:,\[])-?(?:NaN|Infinity)(?=[\s,\]}])")
 Node = tree_sitter.Node
 
 
@@ -22,6 +24,9 @@
 
     def __init__(self, data: bytes, format: Format) -> None:
         language = tree_sitter_toml if format == "operator" else tree_sitter_json
+        if format == "platform":
+            # Python's reader takes these for numbers, the grammar doesn't.
+            data = _CONSTANT.sub(lambda m: b"0" * len(m[0]), data)
         self.data = data
         self.places: dict[Path, Place] = {(): (1, 1)}
         self.last: dict[Path, Place] = {}
@@ -63,6 +68,8 @@
             elif node.type in ("table", "table_array_element"):
                 head = node.named_children[0]
                 path = self.resolve(tuple(self.names(head)), counts)
+                for n in range(1, len(path)):
+                    self.note(path[:n], head)
                 if node.type == "table_array_element":
                     number = counts.get(path, 0)
                     counts[path] = number + 1
--- a/zinclever/configuration/shape.py
+++ b/zinclever/configuration/shape.py
@@ -140,7 +140,7 @@
     if key.kind in ("number", "whole"):
         if not numeric or (key.kind == "whole" and isinstance(value, float) and math.isfinite(value)):
             yield wrong_kind(value, key, path)
-        elif not math.isfinite(value) or (isinstance(value, int) and abs(value) > LARGEST):
+        elif abs(value) > LARGEST if isinstance(value, int) else not math.isfinite(value):
             yield Finding("ZC113", path, f"{short(value)} is no number that sets a limit", worded(key))
         else:
             yield from bounds(value, key, path)
