--- a/benchmarks/jsonrpc.py
+++ b/benchmarks/jsonrpc.py
@@ -186,6 +186,7 @@
 protocol = "jsonrpc"
 listen = "127.0.0.1:{port}"
 endpoints = [{endpoints}]
+connect_timeout_ms = 1000
 [services.bench.classes.read]
 repeat = "idempotent"
 aim_ms = 4000
--- a/tests/test_jsonrpc_wire.py
+++ b/tests/test_jsonrpc_wire.py
@@ -457,6 +457,22 @@
     run(test)
 
 
+def test_calls_beyond_what_a_connection_holds_wait_for_another(monkeypatch: pytest.MonkeyPatch) -> None:
+    """... and beyond what all hold, they end as never run."""
+    monkeypatch.setattr(shared, "MOST_PENDING", 5)
+    monkeypatch.setattr(shared, "MOST_CONNECTIONS", 2)
+
+    async def test() -> None:
+        async with service(always(Fault.SWALLOW), react=to_hand) as s:
+            c = await s.client()
+            for n in range(12):
+                c.call(READ)
+                await until(lambda: len(s.log.received) + len(s.outcomes()) == n + 1)  # noqa: B023
+            assert s.outcomes() == ["connect_failed"] * 2 and s.endpoints[0].connections == 2
+
+    run(test)
+
+
 def test_refused_connections_never_ran() -> None:
     async def test() -> None:
         async with service(always(), react=to_hand) as s:
--- a/zinclever/configuration/shape.py
+++ b/zinclever/configuration/shape.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import difflib
 import math
-import unicodedata
 from collections.abc import Iterator, Sequence
 from typing import Any
 
@@ -56,6 +54,10 @@
 
     With it the known key that must have been meant, if there is one.
     """
+    # Loaded for a file that has something wrong: a running sidecar has no use for them.
+    import difflib
+    import unicodedata
+
     free = [key.name for key in keys if key.name not in values]
     folded = unicodedata.normalize("NFKD", name).encode("ascii", "ignore").decode()
     near = difflib.get_close_matches(name.lower().replace("-", "_"), [k.replace("-", "_") for k in free], 1, ALIKE)
@@ -74,6 +76,8 @@
 
 
 def odd_letters(name: str) -> str:
+    import unicodedata
+
     return ", ".join(unicodedata.name(c, f"U+{ord(c):04X}") for c in name if not c.isascii())
 
 
@@ -163,6 +167,8 @@
 def text(value: str, key: Key, path: Path) -> Iterator[Finding]:
     if key.kind == "choice":
         if value not in key.choices:
+            import difflib
+
             near = difflib.get_close_matches(value.lower(), key.choices, 1, 0.5)
             instead = f"did you mean {near[0]!r}?" if near else worded(key)
             yield Finding("ZC115", path, f"{short(value)} is none of {', '.join(key.choices)}", instead)
--- a/zinclever/core/shared.py
+++ b/zinclever/core/shared.py
@@ -13,7 +13,7 @@
 
 EASY = 64  # requests pending on each connection from which on another one is opened
 MOST_CONNECTIONS = 4  # to an endpoint: beyond that they share, so that a slow one isn't buried in sockets
-MOST_PENDING = 4096  # on a connection: what is beyond never goes out
+MOST_PENDING = 8192  # on a connection, and waiting for one: what is beyond never goes out
 
 
 class Shared(Protocol):
@@ -137,9 +137,7 @@
         if connection is not None and connection.pending() < MOST_PENDING:
             self.resting.pop(connection, None)
             attempt.run(connection)
-        elif connection is not None or len(pool.waiting) >= MOST_PENDING:
-            self.loop.call_soon(attempt.end, "connect_failed")
-        elif pool.dialling or self.open_one(pool):
+        elif len(pool.waiting) < MOST_PENDING and (pool.dialling or self.open_one(pool)):
             pool.waiting.append(attempt)
         else:
             self.loop.call_soon(attempt.end, "connect_failed")
@@ -151,11 +149,13 @@
             connection.finish()
             connection = pool.least()
         crowded = connection is not None and connection.pending() >= EASY
-        if crowded and not pool.dialling and len(pool.connections) < MOST_CONNECTIONS:
+        if crowded and not pool.dialling:
             self.open_one(pool)
         return connection
 
     def open_one(self, pool: Pool[C]) -> bool:
+        if len(pool.connections) >= MOST_CONNECTIONS:
+            return False
         if self.descriptors.full() and not self.descriptors.evict():
             return False
         self.descriptors.open += 1
