Draw endpoints at a cost that doesn't grow with the fleet

Need: every draw walked the fleet: 1,430 us a request with 2,000 endpoints against 86 with 8. A side that is drawn from as a whole is sampled by size from running sums, again while what is drawn is not fit; the shares are those of the pool of fit ones (tested against it). Down marks end by a heap; where most look down, or few are fit, the side is looked through as before.

--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,159 @@
+"""Large fleets: draws that don't walk the list, and that are the draws they were."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+import pytest
+from helpers import KEYED, SAFE, Sidecar, fleet, settings
+
+from zinclever import interface as i
+from zinclever import policy
+from zinclever.policy import Endpoint, Side
+
+
+class Counted(list[Endpoint]):
+    """A list that tells how often it was walked or looked into."""
+
+    touched = 0
+
+    def __iter__(self) -> Iterator[Endpoint]:
+        Counted.touched += len(self)
+        return super().__iter__()
+
+    def __getitem__(self, index: Any) -> Any:
+        Counted.touched += 1
+        return super().__getitem__(index)
+
+
+def watched(s: Sidecar) -> None:
+    Counted.touched = 0
+    for side in (s.b.near, s.b.far):
+        side.ready = Counted(side.ready)
+    s.b.ready = Counted(s.b.ready)
+
+
+@pytest.mark.parametrize("size", [100, 1000, 10_000])
+def test_a_request_looks_at_a_few_endpoints_of_a_fleet_of_any_size(size: int) -> None:
+    s = Sidecar(settings(), fleet(size))
+    watched(s)
+    for n in range(50):
+        r = s.ask()
+        s.feed(i.AttemptEnded(r, 0, s.all[-1][1].endpoint if isinstance(s.all[-1][1], i.Send) else "e0",
+                              "served", 5.0, True))
+        s.wait(1.0)
+        assert Counted.touched <= 20 * (n + 1), "a walk over the fleet"
+
+
+def weights(sizes: list[float]) -> list[i.Listed]:
+    return [i.Listed(f"e{n}", size=size) for n, size in enumerate(sizes)]
+
+
+def test_the_draw_is_the_one_from_the_pool() -> None:
+    """Against the oracle that looks through the side: the same shares of first and second, by size, with
+    endpoints that are down, used or in no group left out."""
+    rng = Random(7)
+    sizes = [rng.choice([0.5, 1.0, 2.0, 8.0]) for _ in range(40)]
+    s = Sidecar(settings(SAFE), weights(sizes))
+    b, now = s.b, s.now
+    down = [b.endpoints[f"e{n}"] for n in range(0, 40, 4)]
+    for e in down:
+        e.down_until = now + 1e6
+        b.near.fell(now, e)
+    r = policy.Request(i.RequestArrived("x", 0, now + 500.0), b.classes[0], b.tenants[0], now)
+    drawn: dict[str, Counter[str]] = {"sampled": Counter(), "looked through": Counter()}
+    failed = 0
+    for _ in range(20_000):
+        sampled = b.sample_two(now, r, b.near)
+        if sampled is None:  # too few tries: the side is looked through then
+            failed += 1
+            continue
+        looked = b.choose_two(now, r, b.fit(now, r, b.near.ready))
+        assert looked is not None
+        for name, pair in (("sampled", sampled), ("looked through", looked)):
+            assert pair[0] is not pair[1]
+            drawn[name].update([f"1 {pair[0].name}", f"2 {pair[1].name}"])
+    assert failed < 20
+    assert not any(f"{k} {e.name}" in drawn["sampled"] for e in down for k in (1, 2))
+    for key, count in drawn["looked through"].items():
+        # Seeded, so that it can't change: within five deviations of a share's count.
+        assert abs(drawn["sampled"][key] - count) < 5.0 * (2.0 * count) ** 0.5 + 1.0, key
+
+
+def test_all_down_but_one_is_found() -> None:
+    s = Sidecar(settings(), fleet(2000))
+    for n, e in enumerate(list(s.b.endpoints.values())):
+        if n != 77:
+            e.down_until = s.now + 1e6
+            s.b.near.fell(s.now, e)
+    # Where most looks down the fault is as likely on this side: everything is tried, as it was.
+    assert s.b.near.mostly_down(s.now)
+    assert s.ask() and isinstance(s.all[-1][1] if not isinstance(s.all[-1][1], i.SetTimer) else s.all[-2][1], i.Send)
+
+
+def test_down_marks_end_by_time_without_a_walk() -> None:
+    s = Sidecar(settings(), fleet(100))
+    side, now = s.b.near, s.now
+    for n, e in enumerate(side.ready[:80]):
+        e.down_until = now + 10.0 * n
+        side.fell(now, e)
+    assert side.mostly_down(now) and len(side.down) == 79
+    assert side.mostly_down(now + 200.0) and len(side.down) == 59
+    assert not side.mostly_down(now + 400.0) and len(side.down) == 39
+    assert not side.mostly_down(now + 1000.0) and not side.down and not side.revivals
+
+
+def test_marks_don_t_pile_up() -> None:
+    """Guards against memory that grows with each failure."""
+    side, now = Side(), 0.0
+    s = Sidecar(settings(), fleet(3))
+    side.take(now, s.b.near.ready)
+    for n in range(10_000):
+        now = float(n)
+        e = side.ready[n % 3]
+        e.down_until = now + 5.0
+        side.fell(now, e)
+    assert len(side.revivals) < 10
+
+
+@pytest.mark.parametrize("size", [0, 1, 2, 3, 5, 33, 2000])
+def test_fleets_of_every_size(size: int) -> None:
+    s = Sidecar(settings(SAFE, KEYED), fleet(size))
+    for n in range(30):
+        s.ask(n % 2)
+        s.wait(5.0)
+    sent = [a for _, a in s.all if isinstance(a, i.Send)]
+    assert bool(sent) == (size > 0)
+    for request in {a.request for a in sent}:
+        tried = [a.endpoint for a in sent if a.request == request]
+        assert len(tried) == len(set(tried)) or size < 5
+
+
+def test_a_list_that_flaps() -> None:
+    """Two versions in turn, with requests out: what is drawn is always listed as ready."""
+    one, two = fleet(2000), [x._replace(phase="draining") if n % 2 else x for n, x in enumerate(fleet(2000))]
+    s = Sidecar(settings(), one)
+    for n in range(60):
+        listed = two if n % 2 else one
+        s.feed(i.MembershipNews("whole", listed))
+        ready = {x.endpoint for x in listed if x.phase == "ready"}
+        for _ in range(5):
+            before = len(s.all)
+            s.ask()
+            assert all(a.endpoint in ready for _, a in s.all[before:] if isinstance(a, i.Send))
+        s.wait(1.0)
+
+
+def test_a_fleet_replaced_at_once_while_requests_are_out() -> None:
+    s = Sidecar(settings(), fleet(10_000))
+    sent = [s.ask() for _ in range(20)]
+    s.feed(i.MembershipNews("whole", [i.Listed(f"new{n}") for n in range(10_000)]))
+    before = len(s.all)
+    for r in sent:
+        s.feed(i.AttemptEnded(r, 0, "", "connect_failed", 1.0, False))
+    again = [a for _, a in s.all[before:] if isinstance(a, i.Send)]
+    assert again and all(a.endpoint.startswith("new") for a in again)
+    assert len(s.b.endpoints) <= 10_020
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+import bisect
 import heapq
+import itertools
 import math
 import random
 import zlib
@@ -55,6 +57,8 @@
 EASE = 0.5  # share of the aim that answers leave on average, below which some are held; all at half
 SURE = 3.0  # attempts that tell nothing yet, and that it takes to outweigh what is usual
 SHED_MOST = 0.95  # share of the demand held back at the most: the rest tells when the crowd has gone
+SMALL = 4  # endpoints up to which a side is looked through: draws there hit what has been used too often
+TRIES = 8  # draws that may hit what is not fit before a side is looked through
 KEYS = 32  # latest requests that a hot key is told from
 WARM_GAIN = 1.4  # by how much better an endpoint counts for a key it is likely to have met
 NEVER = math.inf
@@ -76,7 +80,7 @@
         self.weight += weight * count
 
     def kept(self, now: float) -> float:
-        return math.exp(min(0.0, (self.at - now) / self.tau))
+        return math.exp((self.at - now) / self.tau) if now > self.at else 1.0
 
     def mean(self, now: float, prior: float, strength: float) -> float:
         kept = self.kept(now)
@@ -132,17 +136,48 @@
     """
 
     __slots__ = (
-        "began", "extra", "inflight", "load", "overdue", "peak", "ready", "served", "steered_at", "window",
+        "began", "down", "extra", "inflight", "load", "overdue", "peak", "ready", "revivals", "served",
+        "steered_at", "sums", "window",
     )
 
     def __init__(self) -> None:
         self.ready: list[Endpoint] = []  # in this balancer's own random order
+        self.sums: list[float] = []  # of their sizes, one after another
+        self.down: set[Endpoint] = set()  # of these, those that are taken to be down
+        self.revivals: list[tuple[float, float, Endpoint]] = []  # when each is tried again
         self.inflight = 0
         self.overdue = 0  # of these, where attempts are being swallowed
         self.served, self.load = Smooth(RATE_SPAN), Smooth(RATE_SPAN)
         self.peak = self.extra = self.steered_at = self.window = 0.0
         self.began = NEVER  # first answer
 
+    def take(self, now: float, ready: list[Endpoint]) -> None:
+        """Take another list. Costs its length; draws between two lists don't."""
+        self.ready = ready
+        self.sums = list(itertools.accumulate(e.size for e in ready))
+        self.down.clear()
+        self.revivals.clear()
+        for e in ready:
+            if e.down_until > now:
+                self.fell(now, e)
+
+    def fell(self, now: float, e: Endpoint) -> None:
+        """An endpoint is taken to be down."""
+        self.revive(now)
+        self.down.add(e)
+        heapq.heappush(self.revivals, (e.down_until, e.rank, e))
+
+    def mostly_down(self, now: float) -> bool:
+        self.revive(now)
+        return 2 * len(self.down) > len(self.ready)
+
+    def revive(self, now: float) -> None:
+        """Those whose time has passed count as up again."""
+        while self.revivals and self.revivals[0][0] <= now:
+            e = heapq.heappop(self.revivals)[2]
+            if e.down_until <= now:
+                self.down.discard(e)
+
     def room(self) -> bool:
         """Whether one more may go out."""
         forgiven = min(self.overdue, FORGIVEN * self.window)
@@ -407,7 +442,20 @@
         Guards against small endpoints drowning in an even share: a quiet balancer hears too little of each
         to tell it by the payoff.
         """
-        pool = self.pool(now, r)
+        drawn: tuple[Endpoint, Endpoint, float] | None = None
+        for side in self.sides(now, r):
+            if side.room():
+                drawn = self.sample_two(now, r, side) or self.choose_two(now, r, self.fit(now, r, side.ready))
+                if drawn is not None:
+                    break
+        drawn = drawn or self.choose_two(now, r, self.used_again(now, r))
+        if drawn is None:
+            return None
+        first, second, gain = drawn
+        return first if gain * self.standing(now, first) >= self.standing(now, second) else second
+
+    def choose_two(self, now: float, r: Request, pool: list[Endpoint]) -> tuple[Endpoint, Endpoint, float] | None:
+        """Two of a pool, by size, and by how much the first counts for more; None where it is empty."""
         if not pool:
             return None
         shares = [e.size for e in pool]
@@ -416,8 +464,34 @@
         first = first or self.rng.choices(pool, shares)[0]
         if first in pool:
             shares[pool.index(first)] = 0.0
-        second = self.rng.choices(pool, shares)[0] if any(shares) else first
-        return first if gain * self.standing(now, first) >= self.standing(now, second) else second
+        return first, self.rng.choices(pool, shares)[0] if any(shares) else first, gain
+
+    def sample_two(self, now: float, r: Request, side: Side) -> tuple[Endpoint, Endpoint, float] | None:
+        """The same draw from a whole side that is large, at a cost that doesn't grow with it.
+
+        Endpoints are drawn by size from the whole list, and again while they are not fit: what remains has
+        the shares that it would have in a pool of the fit ones. None where the side is small or not drawn
+        from as a whole, or few are fit: those are looked for one by one.
+        """
+        count = len(side.ready)
+        if count <= SMALL or self.enough() < count or side.mostly_down(now):
+            return None
+        first = self.keeper(now, r, side is self.near)
+        gain = WARM_GAIN if first else 1.0
+        first = first or self.sample(now, r, side, None)
+        second = self.sample(now, r, side, first) if first is not None else None
+        return (first, second, gain) if first is not None and second is not None else None
+
+    def sample(self, now: float, r: Request, side: Side, other: Endpoint | None) -> Endpoint | None:
+        """One that is fit and not the other; None after a few tries."""
+        used = [a.endpoint for a in r.attempts]
+        for _ in range(TRIES):
+            e = side.ready[bisect.bisect(side.sums, self.rng.random() * side.sums[-1], 0, len(side.ready) - 1)]
+            if e is other or e.down_until > now or e in used:
+                continue
+            if self.same_group(r, e) and self.warm_enough(now, e):
+                return e
+        return None
 
     def keeper(self, now: float, r: Request, near: bool) -> Endpoint | None:
         """The endpoint that all balancers send a key to, so that it is warm there: one of the two drawn.
@@ -435,7 +509,7 @@
         fit = not used and e.down_until <= now and self.same_group(r, e) and self.warm_enough(now, e)
         return e if fit else None
 
-    def pool(self, now: float, r: Request) -> list[Endpoint]:
+    def sides(self, now: float, r: Request) -> list[Side]:
         """What to draw from: the home zone, or the others where it is full or they are better by more than
         the crossing."""
         sides = [self.near]
@@ -443,12 +517,12 @@
             sides.append(self.far)
             if self.far.ready and self.spills(now, r):
                 sides.reverse()
-        for side in sides:
-            if side.room() and (pool := self.fit(now, r, side.ready)):
-                return pool
+        return sides
+
+    def used_again(self, now: float, r: Request) -> list[Endpoint]:
+        """Where a retry may go back to: a fleet may be smaller than the attempts allowed."""
         if r.live:
             return []
-        # A fleet smaller than the attempts allowed: a retry may go back where the request has been.
         used = [a.endpoint for a in r.attempts]
         return [
             e for e in used
@@ -554,6 +628,7 @@
             e.served_at = now
             e.served.add(now, 0.0)
             e.down_until, e.failures = -NEVER, 0
+            self.side(e).down.discard(e)
             k.latency.add(now, event.elapsed)
             k.mean = k.latency.mean(now, BASE_SHARE * k.told.aim, 0.3)
             known = k.occupied.weight > BASE_FROM
@@ -567,6 +642,8 @@
             e.failures += 1
             span = self.limits.connect_timeout * 2.0 ** min(e.failures, 5)
             e.down_until = now + span * (0.5 + self.rng.random())
+            if e.phase == "ready":
+                self.side(e).fell(now, e)
         if outcome in ("served", "error", "full"):
             e.quiet_from = now if e.inflight else NEVER
         elif not e.inflight:
@@ -841,8 +918,8 @@
         dear = self.settings.prices.cross_zone >= DEAR
         for e in self.ready:
             e.near = not dear or e.zone == self.settings.zone
-        self.near.ready = [e for e in self.ready if e.near]
-        self.far.ready = [e for e in self.ready if not e.near]
+        self.near.take(now, [e for e in self.ready if e.near])
+        self.far.take(now, [e for e in self.ready if not e.near])
         for side in (self.near, self.far):
             if side.began == NEVER:
                 side.window = self.first_window(side)
