--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -39,6 +39,7 @@
 @pytest.mark.parametrize("size", [100, 1000, 10_000])
 def test_a_request_looks_at_a_few_endpoints_of_a_fleet_of_any_size(size: int) -> None:
     s = Sidecar(settings(), fleet(size))
+    s.ask()  # the first draw after a change makes the running sums
     watched(s)
     for n in range(50):
         r = s.ask()
@@ -157,3 +158,45 @@
     again = [a for _, a in s.all[before:] if isinstance(a, i.Send)]
     assert again and all(a.endpoint.startswith("new") for a in again)
     assert len(s.b.endpoints) <= 10_020
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_changes_one_by_one_come_to_what_a_whole_list_would(seed: int) -> None:
+    """Against the oracle that puts everything in order anew, with attempts out on what goes."""
+    rng = Random(seed)
+    told = settings(SAFE, prices=i.Prices(cross_zone=0.2))
+    s, oracle = Sidecar(told, fleet(60)), Sidecar(told, fleet(60))
+    phases: list[i.Phase] = ["ready", "ready", "draining", "gone"]
+    for _ in range(200):
+        x = i.Listed(f"e{rng.randrange(80)}", rng.choice(phases), size=rng.choice([1.0, 2.0]), zone=rng.randrange(2),
+                     started_at=rng.choice([0.0, 0.0, s.now - 500.0]))
+        if rng.random() < 0.3:
+            name = rng.choice(sorted(s.b.endpoints))
+            out = rng.randrange(2)
+            for b in (s.b, oracle.b):
+                b.endpoints[name].inflight = out
+        for b in (s.b, oracle.b):
+            b.rng = Random(rng.random() if b is s.b else 0.0)
+        oracle.b.rng.setstate(s.b.rng.getstate())
+        s.b.on_membership(s.now, i.MembershipNews("changes", [x]))
+        oracle.b.relist(oracle.now, i.MembershipNews("changes", [x]))
+        for mine, theirs in ((s.b.ready, oracle.b.ready), (s.b.near.ready, oracle.b.near.ready),
+                             (s.b.far.ready, oracle.b.far.ready)):
+            assert [(e.name, e.zone, e.size) for e in mine] == [(e.name, e.zone, e.size) for e in theirs]
+        assert {n: e.phase for n, e in s.b.endpoints.items()} == {n: e.phase for n, e in oracle.b.endpoints.items()}
+        for side in (s.b.near, s.b.far):
+            assert [e for e in side.ready if e.size] == [e for e in side.ready if e.near is (side is s.b.near)]
+            if side.ready:
+                side.one(s.b.rng)
+                assert side.sums[-1] == pytest.approx(sum(e.size for e in side.ready))
+
+
+def test_endpoints_replaced_one_by_one() -> None:
+    s = Sidecar(settings(), fleet(2000))
+    for n in range(2000):
+        s.feed(i.MembershipNews("changes", [i.Listed(f"e{n}", "gone"), i.Listed(f"new{n}")]))
+        if n % 50 == 0:
+            s.ask()
+            s.wait(1.0)
+    assert {e.name for e in s.b.ready} == {f"new{n}" for n in range(2000)}
+    assert len(s.b.endpoints) <= 2000 + 40
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -59,6 +59,8 @@
 SHED_MOST = 0.95  # share of the demand held back at the most: the rest tells when the crowd has gone
 SMALL = 4  # endpoints up to which a side is looked through: draws there hit what has been used too often
 TRIES = 8  # draws that may hit what is not fit before a side is looked through
+CHANGED_FEW = 0.1  # share of the list up to which changes are taken one by one
+WARM_STEP = 0.01  # ms for each endpoint between two measures of the warm ones, as each looks at all
 KEYS = 32  # latest requests that a hot key is told from
 WARM_GAIN = 1.4  # by how much better an endpoint counts for a key it is likely to have met
 NEVER = math.inf
@@ -128,6 +130,18 @@
         return max(0.0, 2 * self.quiet_to - self.quiet_from - now)
 
 
+def rank_of(e: Endpoint) -> float:
+    return e.rank
+
+
+def cut(listed: list[Endpoint], e: Endpoint) -> None:
+    """Take an endpoint out of a list by rank; others may be of the same rank."""
+    at = bisect.bisect_left(listed, e.rank, key=rank_of)
+    while listed[at] is not e:
+        at += 1
+    del listed[at]
+
+
 class Side:
     """The ready endpoints of the home zone, or of the others: each can carry so much.
 
@@ -142,7 +156,7 @@
 
     def __init__(self) -> None:
         self.ready: list[Endpoint] = []  # in this balancer's own random order
-        self.sums: list[float] = []  # of their sizes, one after another
+        self.sums: list[float] = []  # of their sizes, one after another; empty: not made yet
         self.down: set[Endpoint] = set()  # of these, those that are taken to be down
         self.revivals: list[tuple[float, float, Endpoint]] = []  # when each is tried again
         self.inflight = 0
@@ -153,14 +167,30 @@
 
     def take(self, now: float, ready: list[Endpoint]) -> None:
         """Take another list. Costs its length; draws between two lists don't."""
-        self.ready = ready
-        self.sums = list(itertools.accumulate(e.size for e in ready))
+        self.ready, self.sums = ready, []
         self.down.clear()
         self.revivals.clear()
         for e in ready:
             if e.down_until > now:
                 self.fell(now, e)
 
+    def insert(self, now: float, e: Endpoint) -> None:
+        bisect.insort(self.ready, e, key=rank_of)
+        self.sums = []
+        if e.down_until > now:
+            self.fell(now, e)
+
+    def remove(self, e: Endpoint) -> None:
+        cut(self.ready, e)
+        self.sums = []
+        self.down.discard(e)
+
+    def one(self, rng: random.Random) -> Endpoint:
+        """Any one, by size. The running sums are made once after each change of the list."""
+        if not self.sums:
+            self.sums = list(itertools.accumulate(e.size for e in self.ready))
+        return self.ready[bisect.bisect(self.sums, rng.random() * self.sums[-1], 0, len(self.ready) - 1)]
+
     def fell(self, now: float, e: Endpoint) -> None:
         """An endpoint is taken to be down."""
         self.revive(now)
@@ -255,6 +285,7 @@
         self.requests: dict[str, Request] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.ready: list[Endpoint] = []
+        self.leaving: set[Endpoint] = set()  # gone, and with attempts out
         self.near, self.far = Side(), Side()  # far: those that are dear to cross to
         self.home, self.away = Smooth(2 * MEMORY), Smooth(2 * MEMORY)  # share of the aim that answers left
         self.asked = Smooth(2 * MEMORY)  # worth of a request
@@ -486,7 +517,7 @@
         """One that is fit and not the other; None after a few tries."""
         used = [a.endpoint for a in r.attempts]
         for _ in range(TRIES):
-            e = side.ready[bisect.bisect(side.sums, self.rng.random() * side.sums[-1], 0, len(side.ready) - 1)]
+            e = side.one(self.rng)
             if e is other or e.down_until > now or e in used:
                 continue
             if self.same_group(r, e) and self.warm_enough(now, e):
@@ -742,7 +773,7 @@
         """
         if not self.cold(now, e):
             return True
-        if now - self.warm_at > HOLD_STEP:
+        if now - self.warm_at > max(HOLD_STEP, WARM_STEP * len(self.ready)):
             self.measure_warm(now)
         rate = self.ramp(now, e) * e.size * self.warm_rate
         burst = max(1.0, rate * self.rules.overload_for / 8)
@@ -899,30 +930,63 @@
             return
         if news.kind != "remembered":
             self.refusals, self.ask_at = 0, NEVER
+        if news.kind == "changes" and len(news.entries) < CHANGED_FEW * len(self.endpoints):
+            for x in news.entries:
+                self.change(now, x)
+        else:
+            self.relist(now, news)
+        self.leaving = {e for e in self.leaving if e.phase == "gone" and e.inflight}
+        for side in (self.near, self.far):
+            if side.began == NEVER:
+                side.window = self.first_window(side)
+
+    def relist(self, now: float, news: i.MembershipNews) -> None:
+        """A whole list, or changes to much of it: everything is put in order anew."""
         if news.kind != "changes":
             present = {x.endpoint for x in news.entries}
             for name, e in self.endpoints.items():
                 if name not in present:
                     e.phase = "gone"
         for x in news.entries:
-            known = self.endpoints.get(x.endpoint)
-            if known is None:
-                self.endpoints[x.endpoint] = Endpoint(x, now, self.rng)
-            elif known.started_at != x.started_at:
-                known.forget(x, now, self.rng)
-            else:
-                known.tell(x)
+            self.hear(now, x)
         self.endpoints = {n: e for n, e in self.endpoints.items() if e.phase != "gone" or e.inflight}
+        self.leaving = {e for e in self.endpoints.values() if e.phase == "gone"}
         self.ready = [e for e in self.endpoints.values() if e.phase == "ready"]
-        self.ready.sort(key=lambda e: e.rank)
-        dear = self.settings.prices.cross_zone >= DEAR
+        self.ready.sort(key=rank_of)
         for e in self.ready:
-            e.near = not dear or e.zone == self.settings.zone
+            e.near = self.is_near(e)
         self.near.take(now, [e for e in self.ready if e.near])
         self.far.take(now, [e for e in self.ready if not e.near])
-        for side in (self.near, self.far):
-            if side.began == NEVER:
-                side.window = self.first_window(side)
+
+    def change(self, now: float, x: i.Listed) -> None:
+        """One endpoint's news, at a cost that doesn't grow with the list but for moving its tail."""
+        known = self.endpoints.get(x.endpoint)
+        if known is not None and known.phase == "ready":
+            cut(self.ready, known)
+            self.side(known).remove(known)
+        e = self.hear(now, x)
+        if e.phase == "ready":
+            e.near = self.is_near(e)
+            bisect.insort(self.ready, e, key=rank_of)
+            self.side(e).insert(now, e)
+        elif e.phase == "gone":
+            self.leaving.add(e)
+        for left in [e for e in self.leaving if e.phase == "gone" and not e.inflight]:
+            self.leaving.discard(left)
+            self.endpoints.pop(left.name, None)
+
+    def hear(self, now: float, x: i.Listed) -> Endpoint:
+        known = self.endpoints.get(x.endpoint)
+        if known is None:
+            known = self.endpoints[x.endpoint] = Endpoint(x, now, self.rng)
+        elif known.started_at != x.started_at:
+            known.forget(x, now, self.rng)
+        else:
+            known.tell(x)
+        return known
+
+    def is_near(self, e: Endpoint) -> bool:
+        return self.settings.prices.cross_zone < DEAR or e.zone == self.settings.zone
 
     def ask(self, now: float) -> None:
         """Subscribe, and again if no answer comes within half the time that the rules give."""
