--- a/zinclever/configuration/shape.py
+++ b/zinclever/configuration/shape.py
@@ -38,7 +38,9 @@
             meant.add(near)
     for name, key in known.items():
         at = (*path, name)
-        if name in values:
+        # The platform words an absent value as null.
+        absent = name not in values or (open and values[name] is None and not key.required)
+        if not absent:
             clean[name], more = one(values[name], key, at)
             found += more
         else:
