Tell in a refusal, too, what the endpoint said

Need: a read whose attempts all ended with an endpoint's internal error was refused without a word of it. Refused carries the latest failure that an endpoint worded, as Failed does; HTTP answers as before.

--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -236,6 +236,17 @@
     run(test)
 
 
+def test_a_refusal_of_a_safe_call_tells_what_the_endpoint_said() -> None:
+    async def test() -> None:
+        async with service(always(Fault.ERROR), deadline=600.0, aim=500.0) as s:
+            c = await s.client()
+            told = await c.call(READ)
+            assert told["error"]["code"] == codec.REFUSED
+            assert told["error"]["data"]["upstream"]["message"] == "internal"
+
+    run(test)
+
+
 def test_declared_errors_prove_that_nothing_ran() -> None:
     """A tip that was declined goes to another endpoint; with no such code set the error is its answer."""
 
--- a/zinclever/core/ledger.py
+++ b/zinclever/core/ledger.py
@@ -81,7 +81,7 @@
         self.perform: dict[type, Callable[[Any], None]] = {
             i.Send: self.send,
             i.Cancel: self.cancel,
-            i.Refuse: lambda a: self.finish(a.request, Refused(a.retry_after)),
+            i.Refuse: self.refuse,
             i.Fail: self.fail,
             i.SetTimer: self.set_timer,
             i.WatchMembership: self.watch,
@@ -196,9 +196,15 @@
         proved = all(a.outcome in i.NEVER_RAN for a in request.attempts)
         repeat = request.balancer.settings.classes[request.told.klass].repeat
         harmless = proved or repeat == "idempotent"
-        self.finish(request.told.id, Refused() if harmless else Failed(request.reply))
+        final = Refused(0.0, request.reply) if harmless else Failed(request.reply)
+        self.finish(request.told.id, final)
         self.feed(i.RequestClosed(request.told.id), request.balancer)
 
+    def refuse(self, action: i.Refuse) -> None:
+        request = self.requests.get(action.request)
+        if request is not None:
+            self.finish(action.request, Refused(action.retry_after, request.reply))
+
     def fail(self, action: i.Fail) -> None:
         request = self.requests.get(action.request)
         if request is not None:
--- a/zinclever/core/protocol.py
+++ b/zinclever/core/protocol.py
@@ -45,9 +45,10 @@
 
 
 class Refused(NamedTuple):
-    """Final answer: a repeat is harmless, after so many ms (0: no advice)."""
+    """Final answer: a repeat is harmless, after so many ms (0: no advice). ``reply``: as for ``Failed``."""
 
     retry_after: float = 0.0
+    reply: Any = None
 
 
 class Failed(NamedTuple):
--- a/zinclever/jsonrpc/codec.py
+++ b/zinclever/jsonrpc/codec.py
@@ -293,12 +293,13 @@
     )
 
 
-def write_refused(id: bytes, retry_after: float) -> bytes:
-    """A refusal: a repeat is harmless, after so many ms (0: no advice)."""
+def write_refused(id: bytes, retry_after: float, upstream: bytes = b"") -> bytes:
+    """A refusal: a repeat is harmless, after so many ms (0: no advice). ``upstream``: as for a failure."""
     advice = b',"retry_after_ms":%d' % round(retry_after) if retry_after > 0.0 else b""
+    said = b',"upstream":' + upstream if upstream else b""
     return write_error(
         id, REFUSED, "refused: a repeat is harmless",
-        b'{"source":"zinclever","repeat":"harmless"%b}' % advice,
+        b'{"source":"zinclever","repeat":"harmless"%b%b}' % (advice, said),
     )
 
 
--- a/zinclever/jsonrpc/front.py
+++ b/zinclever/jsonrpc/front.py
@@ -357,6 +357,7 @@
 def render(id: bytes, final: Final) -> bytes:
     if isinstance(final, Served):
         return b"%b%b%b" % (final.reply.head, id, final.reply.tail)
+    said = final.reply.error if final.reply is not None else b""
     if isinstance(final, Refused):
-        return codec.write_refused(id, final.retry_after)
-    return codec.write_failed(id, final.reply.error if final.reply is not None else b"")
+        return codec.write_refused(id, final.retry_after, said)
+    return codec.write_failed(id, said)
