--- a/standins/day.py
+++ b/standins/day.py
@@ -32,7 +32,6 @@
     """How long each part lasts, in s. ``draining`` outlasts the grace, so that a drain that is not heeded
     shows."""
 
-    seed: int
     calm: float = 1.0
     draining: float = 2.4
     gone: float = 0.6
--- a/tests/test_fault_day.py
+++ b/tests/test_fault_day.py
@@ -114,7 +114,7 @@
                     path.write_text(text.replace("max_attempts = 3", "max_attempts = 4"))
                     program.send_signal(signal.SIGHUP)
 
-                day = Day(seed)
+                day = Day()
                 await asyncio.gather(
                     change(day, http.discovery, http.endpoints, reload),
                     change(day, rpc.discovery, rpc.endpoints, reload),
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -8,9 +8,7 @@
 from rpc import operator
 
 from zinclever.configuration.check import check_operator
-from zinclever.configuration.findings import Finding
 from zinclever.configuration.operator import Operator, build
-from zinclever.configuration.positions import Positions
 
 LINE = 'endpoints = ["127.0.0.1:9001", { address = "127.0.0.1:9002", zone = "kef", weight = 0.5 }]'
 GOOD = operator(LINE, group="zone", more='default_class = "tip"\nzone = "kef"')
@@ -22,14 +20,6 @@
     return build(report.clean)
 
 
-def first_error(text: str) -> tuple[Finding, int]:
-    """The first error of a file, and its line."""
-    report = check_operator(text.encode())
-    positions = Positions(text.encode(), "operator")
-    line, n = min((positions.place(f)[0], n) for n, f in enumerate(report.errors))
-    return report.errors[n], line
-
-
 def test_a_whole_file() -> None:
     service = read(GOOD).services["creator-tools"]
     assert service.listen == ("127.0.0.1", 7001)
--- a/zinclever/configtool/changes.py
+++ b/zinclever/configtool/changes.py
@@ -26,12 +26,12 @@
 
 def compare(before: Clean, after: Clean) -> list[Change]:
     """Every change, risks first."""
-    found = list(_tables("services", before["services"], after["services"]))
+    found = list(_services(before["services"], after["services"]))
     found += _plain(("limits",), before["limits"], after["limits"], ())
     return sorted(found, key=lambda c: (not c.risk, c.key))
 
 
-def _tables(_: str, before: Clean, after: Clean) -> Iterator[Change]:
+def _services(before: Clean, after: Clean) -> Iterator[Change]:
     for name in sorted(before.keys() | after.keys()):
         path: Path = ("services", name)
         if name not in after:
--- a/zinclever/configtool/reference.py
+++ b/zinclever/configtool/reference.py
@@ -88,7 +88,7 @@
         "address": {"type": "string", "pattern": "^[^ ]+:[0-9]{1,5}$"},
         "pointer": {"type": "string", "pattern": "^/"},
         "texts": {"type": "array", "items": {"type": "string"}},
-        "wholes": {"type": "array", "items": {"type": "integer"}}, "any": {}, "array": {"type": "array"},
+        "wholes": {"type": "array", "items": {"type": "integer"}}, "any": {},
     }
     told: dict[str, Any]
     if key.kind == "table":
--- a/zinclever/configuration/model.py
+++ b/zinclever/configuration/model.py
@@ -11,7 +11,7 @@
 
 Kind = Literal[
     "text", "number", "whole", "flag", "choice", "address", "pointer", "texts", "wholes", "table", "tables",
-    "endpoints", "array", "any",
+    "endpoints", "any",
 ]
 VERSION = 1
 MOST_SPAN = 3_600_000.0  # ms: no request is waited for, and no key remembered, for more than an hour
--- a/zinclever/configuration/shape.py
+++ b/zinclever/configuration/shape.py
@@ -221,7 +221,7 @@
         "text": "a text", "number": "a number", "whole": "a whole number", "flag": "true or false",
         "address": "an address", "pointer": "a JSON Pointer", "texts": "an array of texts",
         "wholes": "an array of whole numbers", "table": "a table", "tables": "an array of tables",
-        "endpoints": "an array of endpoints", "array": "an array", "any": "anything",
+        "endpoints": "an array of endpoints", "any": "anything",
     }
     told = words[key.kind]
     if key.least is not None and key.most is not None and key.kind in ("number", "whole"):
--- a/zinclever/jsonrpc/front.py
+++ b/zinclever/jsonrpc/front.py
@@ -46,7 +46,7 @@
         self.connections: dict[ServerConnection, None] = {}
         """Those open, the one that has sent nothing for longest first."""
         self.counts: Counter[str] = Counter()
-        self.draining = self.ending = False
+        self.ending = False
         self.empty = asyncio.Event()
         self.configure()
 
@@ -85,7 +85,7 @@
         self.connections[connection] = None
 
     def begin_drain(self) -> None:
-        self.draining = True
+        """Clients that have not heard of the end yet are served as before, until idle ones are closed."""
 
     def close_idle(self) -> None:
         """From now on calls are refused, and connections end with their last response."""
