--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -8,7 +8,7 @@
 
 import heapq
 import itertools
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -39,9 +39,9 @@
     """One balancer, its endpoints and its clients, from a seed."""
 
     def __init__(self, settings: i.Settings, endpoints: Sequence[i.Listed], shares: Mapping[Fault, float],
-                 seed: int) -> None:
+                 seed: int, make: Callable[[i.Settings, int], Balancer] = Balancer) -> None:
         self.settings, self.shares, self.rng = settings, shares, Random(seed)
-        self.balancer = Balancer(settings, seed)
+        self.balancer = make(settings, seed)
         self.zones = {e.endpoint: (str(e.zone), str(e.cell)) for e in endpoints}
         self.now = 1_000_000.0
         self.log = Log(lambda: self.now)
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -280,7 +280,7 @@
         self.classes = [Klass(c) for c in settings.classes]
         tenants = [t.quota_per_s for t in settings.tenants] or [1.0]
         self.tenants = [Share(q, len(self.classes)) for q in tenants]
-        self.quota = sum(t.quota for t in self.tenants)
+        self.quota = sum((t.quota for t in self.tenants), 0.0)
         self.used = Smooth(MEMORY)
         self.requests: dict[str, Request] = {}
         self.endpoints: dict[str, Endpoint] = {}
@@ -793,12 +793,12 @@
         for side in (self.near, self.far):
             warm = [e for e in side.ready if not self.cold(now, e)]
             if 3 * len(warm) >= len(side.ready) > 0:
-                served = sum(e.served.rate(now) for e in warm[:enough])
-                rates.append(served / sum(e.size for e in warm[:enough]))
+                served = sum((e.served.rate(now) for e in warm[:enough]), 0.0)
+                rates.append(served / sum((e.size for e in warm[:enough]), 0.0))
         if rates:
             self.warm_rate = max(rates)
         elif self.ready and self.warm_rate == 0.0:
-            self.warm_rate = self.demand.rate(now) / sum(e.size for e in self.ready[:enough])
+            self.warm_rate = self.demand.rate(now) / sum((e.size for e in self.ready[:enough]), 0.0)
 
     # --- admission ---
 
