--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -88,6 +88,18 @@
     assert native.find() is Balancer
 
 
+def test_a_library_that_is_loaded_is_not_written_over(tmp_path: Path) -> None:
+    """Guards against sidecars, and the build itself, that crash as what they have loaded changes under them."""
+    old, new = tmp_path / "lib.so", tmp_path / "made" / "lib.so"
+    new.parent.mkdir()
+    old.write_bytes(b"old")
+    new.write_bytes(b"new")
+    with old.open("rb") as loaded:
+        compile.put(new, tmp_path)
+        assert loaded.read() == b"old" and old.read_bytes() == b"new"
+    assert sorted(p.name for p in tmp_path.iterdir()) == ["lib.so", "made"]
+
+
 def test_without_a_build_the_text_runs(monkeypatch: pytest.MonkeyPatch) -> None:
     def missing(name: str) -> Any:
         raise ImportError(name)
--- a/zinclever/compile.py
+++ b/zinclever/compile.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import shutil
 import subprocess
 import sys
@@ -33,10 +34,18 @@
         if done.returncode or not made:
             return (done.stdout + done.stderr)[-2000:] or "nothing was made"
         for file in made:
-            shutil.copy2(file, folder / file.name)
+            put(file, folder)
     return ""
 
 
+def put(file: Path, folder: Path) -> None:
+    """Put a library in the place of another by a rename: a process that has the old one loaded, this one
+    among them, keeps it. Written over in place it would crash them."""
+    beside = folder / f"{file.name}.new"
+    shutil.copy2(file, beside)
+    os.replace(beside, folder / file.name)
+
+
 def main() -> int:
     wrong = compile_to(SOURCE.parent)
     print(f"the decision module is not compiled, and runs as it is written: {wrong}" if wrong
