--- a/tests/test_fault_day.py
+++ b/tests/test_fault_day.py
@@ -55,10 +55,10 @@
         self.stack, self.kind, self.seed = stack, kind, seed
         self.log = Log()
 
-    async def open(self) -> Side:
+    async def open(self, count: int = 4) -> Side:
         self.discovery = await self.stack.enter_async_context(Discovery(self.log))
         self.endpoints = []
-        for n in range(4):
+        for n in range(count):
             plan = seeded(10 * self.seed + n, SHARES, MOST_DELAY)
             made = self.kind(self.log, plan, "ab"[n % 2])
             self.endpoints.append(await self.stack.enter_async_context(made))
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,398 @@
+"""What each instance takes of what all may use: connections, handshakes, retries, copies, calls of discovery."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from statistics import fmean
+
+import pytest
+from helpers import LIMITS, SAFE, UNSAFE, Sidecar, fleet, settings
+from loopback import always, host, run, serving, sidecar, silence
+from test_fault_day import CLASSES, SETTINGS, TERMS, Side
+from test_program import config
+from test_program import started as started_program
+
+from standins import audit
+from standins.clients import HttpClient
+from standins.day import ask_http
+from standins.http_endpoint import HttpEndpoint
+from zinclever import interface as i
+from zinclever.fleet.limits import BACK_OFF_EACH, CALM_FOR, LONGEST_WATCH, Bucket, Budget, Calls, Connections
+
+CAPS = i.Shares(connections=400.0, handshakes_per_s=100.0, busy=4)
+GROUP, SERVERS, WIDTH = 20_000, 2000, 20
+
+
+# --- buckets and budgets ---
+
+
+@pytest.mark.parametrize(("rate", "each"), [(0.05, 50.0), (1.0, 3.0), (0.0002, 900.0)])
+def test_a_bucket_keeps_its_rate_in_the_long_run(rate: float, each: float) -> None:
+    """Also where its part is less than one in all that it may save up."""
+    bucket, taken, span = Bucket(Random(1)), 0, 4_000_000.0 if rate < 0.001 else 40_000.0
+    bucket.configure(rate)
+    now = 0.0
+    while now < span:
+        taken += bucket.take(now)
+        now += each
+    assert taken <= rate * span + max(1.0, 1000.0 * rate)
+    assert taken >= 0.4 * min(rate * span, span / each)  # what is beyond its second of saving is lost
+
+
+def test_buckets_that_are_emptied_together_spend_no_more_than_all_may_save() -> None:
+    """20,000 of them at one instant, after a long quiet, and at their start: each holds a tenth of one."""
+    rng, burst = Random(2), 0
+    buckets = [Bucket(rng) for _ in range(GROUP)]
+    for bucket in buckets:
+        bucket.configure(0.0001)
+    first = sum(b.take(0.0) for b in buckets)
+    assert first < 0.1 * GROUP * 0.6  # a random part of it each
+    for bucket in buckets:
+        burst += bucket.take(1e7)
+    assert 0.08 * GROUP < burst < 0.12 * GROUP
+    assert sum(b.take(1e7 + 1.0) for b in buckets) < 0.02 * burst + 0.1 * GROUP  # what the others still hold
+
+
+def test_a_bucket_that_is_told_less_gives_up_what_it_saved() -> None:
+    bucket = Bucket(Random(1))
+    bucket.configure(1.0)
+    assert bucket.take(0.0)
+    bucket.take(10_000.0)
+    bucket.configure(0.001)
+    assert bucket.tokens <= 1.0
+
+
+def test_a_budget_is_a_share_of_the_requests_and_a_floor() -> None:
+    budget = Budget(0.2, Random(1))
+    assert not any(budget.take(float(n)) for n in range(100))
+    for n in range(100):
+        budget.asked(100.0 + n)
+    assert sum(budget.take(200.0) for _ in range(100)) in (18, 19)
+    budget.configure(0.01)
+    assert sum(budget.take(200.0 + n) for n in range(10_000)) in range(85, 116)
+
+
+def test_a_budget_is_forgotten() -> None:
+    """What a busy hour saved is not there for the quiet one after it."""
+    budget = Budget(0.5, Random(1))
+    for n in range(1000):
+        budget.asked(float(n))
+    assert not budget.take(200_000.0)
+
+
+# --- the module's retries and copies ---
+
+
+NO_COPIES = replace(LIMITS, second_copies=False)
+
+
+def failing(s: Sidecar, requests: int) -> int:
+    """Requests whose first attempt fails; how many retries went out."""
+    retried = 0
+    for _ in range(requests):
+        r = s.ask()
+        ended = 0
+        while not s.finals(r):
+            if ended < len(s.sends(r)):
+                s.end(r, ended, "error" if ended == 0 else "served", complete=ended > 0)
+                ended += 1
+                if ended == 2:
+                    break
+            else:
+                s.wait(5.0)  # held
+        retried += max(0, ended - 1)
+        s.wait(20.0)
+    return retried
+
+
+def test_retries_stay_within_their_ratio() -> None:
+    free = Sidecar(settings(limits=NO_COPIES), fleet(50))
+    bound = Sidecar(settings(limits=NO_COPIES, shares=i.Shares(retry_ratio=0.2)), fleet(50))
+    assert failing(free, 200) > 150
+    assert 20 <= failing(bound, 200) <= 40
+
+
+def test_a_request_without_a_retry_left_is_answered_at_once() -> None:
+    s = Sidecar(settings(SAFE, UNSAFE, shares=i.Shares(retry_ratio=0.01)), fleet(50))
+    safe, unsafe = s.ask(0), s.ask(1)
+    s.end(safe, 0, "error", complete=False)
+    s.end(unsafe, 0, "error", complete=False)
+    assert isinstance(s.finals(safe)[0], i.Refuse) and isinstance(s.finals(unsafe)[0], i.Fail)
+
+
+def test_the_floor_is_for_all_together() -> None:
+    """With 20,000 instances and 2 a second for each of 50 endpoints a retry is one in 200 s of each."""
+    shares = i.Shares(retry_ratio=0.001, floor_per_s=2.0)
+    instances = [Sidecar(settings(shares=shares, group_size=GROUP, limits=NO_COPIES), fleet(50), seed)
+                 for seed in range(200)]
+    assert sum(failing(s, 1) for s in instances) <= 4
+    alone = Sidecar(settings(shares=shares, limits=NO_COPIES), fleet(50))
+    assert failing(alone, 200) > 150
+
+
+def copies(s: Sidecar, requests: int) -> int:
+    s.serve(150)  # until the window is known: before, no copy goes out at all
+    copied = 0
+    for _ in range(requests):
+        r = s.ask()
+        s.wait(100.0)
+        for n in range(len(s.sends(r))):
+            s.end(r, n, "served" if n == 0 else "cancelled", complete=True)
+            copied += n > 0
+        s.wait(50.0)
+    return copied
+
+
+def test_copies_stay_within_their_ratio() -> None:
+    free, bound = copies(Sidecar(settings(), fleet(50)), 20), copies(
+        Sidecar(settings(shares=i.Shares(copy_ratio=0.02)), fleet(50)), 20
+    )
+    assert bound <= 4 < free
+
+
+# --- connections ---
+
+
+def connections(shares: i.Shares = CAPS, group: int = GROUP, servers: int = SERVERS, width: int = WIDTH,
+                seed: int = 1) -> Connections:
+    made = Connections(Random(seed))
+    made.configure(shares, group, servers, width)
+    return made
+
+
+def test_parts_add_up_to_less_than_the_cap() -> None:
+    """Every instance holding all that it may, toward each server: the even ones, and the busy ones on top."""
+    for group, servers in ((20_000, 2000), (500, 2000), (20_000, 50), (10, 4), (1, 1)):
+        width = min(servers, max(20, 10 * servers // group))
+        one = connections(group=group, servers=servers, width=width)
+        sharing = group * width / servers
+        assert sharing * one.most_each() <= max(400.0, sharing)
+        one.level = one.hot
+        busy = min(4, group)
+        assert (sharing - busy) * connections(group=group, servers=servers, width=width).most_each() \
+            + busy * one.most_each() <= (400.0 if sharing <= 300.0 else sharing + busy * one.hot_each)
+        assert group * one.equal <= max(0.5 * 400.0 * servers, group)
+
+
+def test_who_lacks_connections_gets_more_step_by_step_and_gives_them_back() -> None:
+    one = connections()
+    held, now, seen = 0, 0.0, []
+    for _ in range(100):
+        now += 1000.0
+        if one.may_open(now, 0, held):
+            held += 1
+        elif held >= one.level - 1:
+            held = int(one.level)
+        seen.append(one.level)
+    assert seen[5] < 2 * one.equal < seen[-1] <= one.hot
+    now += CALM_FOR
+    while one.level > one.equal:
+        now += 1000.0
+        one.may_open(now, 0, 0)
+    assert now < 300_000.0
+
+
+def test_refusals_take_back_at_once_and_it_comes_back_slowly() -> None:
+    one = connections()
+    one.refused(0.0)
+    one.refused(1.0)  # of the same burst
+    once = one.level
+    assert once == pytest.approx(0.7 * one.equal)
+    now = 0.0
+    for _ in range(60):
+        now += BACK_OFF_EACH
+        one.refused(now)
+    assert one.level == 1.0 and one.may_open(now, 0, 0) and not one.may_open(now, 0, 1)
+    one.may_open(now + 3000.0, 0, 0)
+    assert one.level < 0.5 * one.equal
+    one.may_open(now + 20_000.0, 0, 0)
+    assert one.level == one.equal
+
+
+def test_a_group_that_shrinks_is_no_burst_and_one_that_grows_counts_at_once() -> None:
+    one = connections()
+    level = one.level
+    one.configure(CAPS, GROUP // 10, SERVERS, WIDTH)
+    assert one.level == level < one.equal
+    assert not one.may_open(0.0, 0, int(level))
+    one.may_open(2000.0, 0, 0)
+    assert level < one.level <= level + 0.2 * one.equal + 1e-9 or one.level < one.equal
+    one.configure(CAPS, 100 * GROUP, SERVERS, WIDTH)
+    assert one.level <= max(1.0, one.hot) and one.equal == 1.0
+
+
+def test_a_group_told_ten_times_too_small_ends_within_the_cap() -> None:
+    """2,000 instances that were told they are 200, each with more to do than it may hold, toward 20 servers that
+    refuse what is beyond 100: refusals bring them down to about that, instead of ten times as much."""
+    rng = Random(3)
+    shares = i.Shares(connections=100.0)
+    all_ = [connections(shares, 200, 20, 20, n) for n in range(2000)]
+    held = [0] * len(all_)
+    total, most, now = 0, 20 * 100, 0.0
+    rounds = []
+    for _ in range(60):
+        now += 500.0
+        for n in rng.sample(range(len(all_)), len(all_)):
+            while held[n] > all_[n].level:
+                held[n] -= 1
+                total -= 1
+            if all_[n].may_open(now, 0, held[n]):
+                if total < most:
+                    held[n] += 1
+                    total += 1
+                else:
+                    all_[n].refused(now)
+        rounds.append(fmean(c.level for c in all_))
+    assert rounds[-1] < 0.5 * rounds[0]
+
+
+def test_without_caps_nothing_is_bounded() -> None:
+    one = connections(i.Shares())
+    assert all(one.may_open(0.0, n, n) for n in range(1000))
+
+
+def test_a_wire_bars_what_is_beyond_the_part() -> None:
+    """On real sockets: two connections may be open; the third attempt ends as never run, and is told apart from
+    an endpoint that can't be reached."""
+
+    def react(event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.RequestArrived):
+            return [i.Send(event.request, "a", 0.0)]
+        if isinstance(event, i.AttemptEnded) and event.outcome == "barred":
+            return [i.Refuse(event.request, 500.0)]
+        return []
+
+    async def test() -> None:
+        async with serving(silence) as (peer, at), sidecar(
+            react, {"seq": 1, "whole": True, "hosts": [host("a", at)]}, shares=i.Shares(connections=4.0)
+        ) as s:
+            assert s.sidecar.connections.equal == 2.0
+            clients = [await s.client() for _ in range(3)]
+            for n, client in enumerate(clients[:2]):
+                client.send(Req_Id=f"r{n}")
+                await peer.arrived.get()
+            assert (await clients[2].ask(Req_Id="r2")).status == 503
+            assert [e.outcome for e in s.balancer.ends()] == ["barred"] and peer.connections == 2
+            assert s.wire.pools["a"].open == s.wire.open == 2
+            clients[0].writer.transport.abort()
+            await s.balancer.until(lambda: (s.wire.open == 2 and "r0" not in s.sidecar.requests)
+                                   or len(s.balancer.ends()) > 1)
+
+    run(test)
+
+
+def test_connections_are_counted_to_their_end() -> None:
+    """Kept, closed by the endpoint, refused at the dial: what is counted comes back to none."""
+
+    def react(event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.RequestArrived):
+            return [i.Send(event.request, event.request, 0.0)]
+        if isinstance(event, i.AttemptEnded) and event.outcome != "served":
+            return [i.Refuse(event.request)]
+        return []
+
+    async def test() -> None:
+        async with serving(always(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")) as (_, good), \
+                serving(always(None)) as (_, ends), sidecar(react, {"seq": 1, "whole": True, "hosts": [
+                    host("good", good), host("ends", ends), host("none", "127.0.0.1:1")]}) as s:
+            client = await s.client()
+            for name in ("good", "ends", "none", "good"):
+                await client.ask(Req_Id=name)
+            assert (s.wire.open, s.wire.pools["good"].open) == (1, 1)
+            assert s.wire.pools["ends"].open == s.wire.pools["none"].open == 0
+            s.wire.close_idle("good")
+            while s.wire.open:
+                await asyncio.sleep(0)
+            assert s.wire.descriptors.open == 0
+
+    run(test)
+
+
+# --- discovery ---
+
+
+def test_starts_are_spread_and_stay_within_the_rule() -> None:
+    rng = Random(4)
+    small = [Calls(400.0, 1000, 10_000.0, rng).start() for _ in range(1000)]
+    assert max(small) <= 2500.0 and 1100.0 < fmean(small) < 1400.0
+    large = [Calls(400.0, GROUP, 10_000.0, rng).start() for _ in range(1000)]
+    assert max(large) <= 5000.0  # the list has to be asked for within ten
+
+
+def test_refused_calls_back_off_with_jitter_up_to_what_the_rule_allows() -> None:
+    calls = Calls(400.0, GROUP, 10_000.0, Random(4))
+    for refusals, most in ((1, 20_000.0), (5, 20_000.0), (60, 20_000.0)):
+        pauses = [calls.again(refusals) for _ in range(500)]
+        assert 0.0 < min(pauses) < 0.2 * most and max(pauses) <= most
+    few = Calls(400.0, 10, 10_000.0, Random(4))
+    assert [max(few.again(n) for _ in range(200)) // 100 for n in (1, 2, 9)] == [5, 11, 33]
+
+
+def test_watches_last_as_long_as_the_cap_asks() -> None:
+    rng = Random(4)
+    assert 2700.0 < Calls(400.0, 10, 10_000.0, rng).watch_for(3000.0) < 3300.0
+    assert 90_000.0 <= Calls(400.0, GROUP, 10_000.0, rng).watch_for(20_000.0) <= 110_000.0
+    assert Calls(1.0, GROUP, 10_000.0, rng).watch_for(20_000.0) <= 1.1 * LONGEST_WATCH
+
+
+def test_the_module_asks_after_a_spread_where_it_has_a_list_and_at_once_where_it_has_none() -> None:
+    shares = i.Shares(list_calls_per_s=400.0)
+    told = settings(shares=shares, group_size=GROUP, discovery="on_request")
+    empty = Sidecar(told)
+    assert empty.of(i.WatchMembership)
+    asked = []
+    for seed in range(50):
+        s = Sidecar(told, fleet(5), seed)
+        assert not s.of(i.WatchMembership)
+        s.wait(5000.0)
+        asked.append(next(at for at, a in s.all if isinstance(a, i.WatchMembership)) - 1_000_000.0)
+    assert max(asked) <= 5000.0 and max(asked) - min(asked) > 4000.0
+
+
+# --- a subset in service ---
+
+
+def test_subset_in_service(tmp_path: Path) -> None:
+    """The program with an operator file: 24 endpoints, two instances that know three of the home zone and four of
+    the other one, a day of faults in which a member drains, goes, and the configuration is read again. No rule
+    breaks, and what is not to be known isn't reached."""
+
+    async def test() -> None:
+        async with AsyncExitStack() as stack:
+            side = await Side(stack, HttpEndpoint, 5).open(24)
+            operator = tmp_path / "operator.toml"
+            operator.write_text("version = 1\n[shares]\nsubset = 3\nconnections = 4000\nhandshakes_per_s = 100000\n"
+                                "list_calls_per_s = 100000\nretry_ratio = 0.5\ncopy_ratio = 0.2\nfloor_per_s = 100\n")
+            clients, over, programs = [], asyncio.Event(), []
+            for n in range(2):
+                folder = tmp_path / str(n)
+                folder.mkdir()
+                told = SETTINGS | {"group-size": 400, "me": 200 * n, "prices": {"cross-zone": 0.1}}
+                env = config(folder, settings=told, discovery=side.discovery.address)
+                env["ZINCLEVER_OPERATOR"] = str(operator)
+                programs.append(await stack.enter_async_context(started_program(env)))
+                clients += [HttpClient(side.log, env["LB_LISTEN"]) for _ in range(3)]
+            await side.known()
+            asking = [asyncio.ensure_future(ask_http(c, CLASSES, Random(n), over)) for n, c in enumerate(clients)]
+            await asyncio.sleep(1.0)
+            member = max(side.endpoints, key=lambda e: len(e.requests()))
+            await side.discovery.set(member, "draining")
+            await asyncio.sleep(1.5)
+            for program in programs:
+                program.send_signal(signal.SIGHUP)
+            await side.discovery.set(member, "gone")
+            await asyncio.sleep(1.0)
+            over.set()
+            await asyncio.wait(asking, timeout=5.0)
+            assert not audit(side.log, TERMS)
+            reached = {r.endpoint for r in side.log.received}
+            assert 4 <= len(reached) <= 2 * (3 + 4) + 2, "a subset, and who came in the drained one's place"
+            answered = [a.kind for a in side.log.answered]
+            assert answered.count("served") > 0.8 * len(answered) > 100
+
+    run(test)
--- a/zinclever/configuration/findings.py
+++ b/zinclever/configuration/findings.py
@@ -101,6 +101,14 @@
     "ZC231": Code("a name that comes twice", "error", "Classes and tenants are told apart by their names."),
     "ZC232": Code("a reserved method that may be repeated", "warning",
                   "The specification reserves names that begin with rpc. for extensions: make sure what it does."),
+    "ZC233": Code("a number beyond the instances", "error",
+                  "Instances number themselves from 0 to instances - 1: another number stands in for one of them, "
+                  "and the endpoints of both carry more than the rest."),
+    "ZC234": Code("a cap that can't be kept", "warning",
+                  "Each endpoint is known to more instances than it may have connections, and each of them may "
+                  "open one."),
+    "ZC235": Code("a floor under no ratio", "warning",
+                  "floor_per_s is what goes out whatever the ratios; without a ratio nothing is bounded by it."),
 }
 
 
--- a/zinclever/configuration/load.py
+++ b/zinclever/configuration/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from .check import Report, check_operator, check_platform
@@ -35,7 +36,10 @@
     data = read_bytes(OPERATOR, operator_path)
     report = check_operator(data, {config.listen: f"{PLATFORM}: listen"} if config is not None else None)
     refuse_errors(OPERATOR, operator_path, data, report)
-    return config, operator.build(report.clean)
+    told = operator.build(report.clean)
+    if config is not None:
+        config = replace(config, settings=replace(config.settings, shares=told.shares))
+    return config, told
 
 
 def read_platform(env: Mapping[str, str]) -> Config:
--- a/zinclever/configuration/model.py
+++ b/zinclever/configuration/model.py
@@ -103,6 +103,7 @@
     Key("max_text_kb", "whole", "The longest text of a client, a whole batch among them.", "KiB", 1024, least=1,
         most=65536),
     Key("instances", "whole", "How many sidecars share these endpoints.", default=1, least=1, most=1_000_000),
+    Key("number", "whole", "This sidecar's own number among them, from 0.", default=0, least=0, most=999_999),
     Key("classes", "table", "What may be done with requests, by name.", required=True,
         inner=(Key("*", "table", "A class.", inner=CLASS),)),
     Key("methods", "table", "The class of each method.", default={},
@@ -114,9 +115,29 @@
     Key("memory_mb", "whole", "Memory that the process may use: checked against what clients may fill.", "MB",
         least=24, most=2**20),
 )
+SHARES = (
+    Key("subset", "whole", "Endpoints of its own zone that each instance knows at least, where it needn't know all; "
+        "0: it knows all.", default=0, least=0, most=MOST_ENDPOINTS),
+    Key("connections", "number", "Open at once to each endpoint, of all instances together; 0: not bounded.",
+        default=0.0, least=0.0, most=1e6),
+    Key("handshakes_per_s", "number", "New connections to each endpoint, of all instances together; 0: not bounded.",
+        "1/s", 0.0, least=0.0, most=1e6),
+    Key("list_calls_per_s", "number", "Calls of discovery, of all instances together; 0: not bounded.", "1/s", 0.0,
+        least=0.0, most=1e6),
+    Key("busy", "whole", "Instances that may be far busier than the rest at once: a quarter of the connections is "
+        "theirs.", default=1, least=1, most=1_000_000),
+    Key("retry_ratio", "number", "Retries for each request, over ten seconds; 0: not bounded.", default=0.0, least=0.0,
+        most=16.0),
+    Key("copy_ratio", "number", "Copies for each request, over ten seconds; 0: as the balancer's own bound.",
+        default=0.0, least=0.0, most=16.0),
+    Key("floor_per_s", "number", "Retries, and as many copies, to each endpoint of all instances together that go out "
+        "whatever the ratios.", "1/s", 0.0, least=0.0, most=1e6),
+)
 OPERATOR = (
     Key("version", "whole", "Of the file's form.", required=True),
     Key("limits", "table", "What the process may use.", default={}, inner=LIMITS),
+    Key("shares", "table", "What all instances together may use, of which each takes its part. It holds for the "
+        "platform's service and for those of this file.", default={}, inner=SHARES),
     Key("services", "table", "Services beside the platform's, by name.", default={},
         inner=(Key("*", "table", "A service.", inner=SERVICE),)),
 )
--- a/zinclever/configuration/operator.py
+++ b/zinclever/configuration/operator.py
@@ -39,15 +39,18 @@
 
     services: Mapping[str, JsonRpcService]
     sockets: int
+    shares: i.Shares
+    """For the platform's service, too."""
 
 
 def build(clean: Clean) -> Operator:
     """From cleaned values without an error."""
-    services = {name: service(name, told) for name, told in clean["services"].items()}
-    return Operator(services, clean["limits"]["sockets"])
+    shares = i.Shares(**clean["shares"])
+    services = {name: service(name, told, shares) for name, told in clean["services"].items()}
+    return Operator(services, clean["limits"]["sockets"], shares)
 
 
-def service(name: str, told: Clean) -> JsonRpcService:
+def service(name: str, told: Clean, shares: i.Shares) -> JsonRpcService:
     classes = tuple(request_class(n, c) for n, c in told["classes"].items())
     numbers = {c.name: n for n, c in enumerate(classes)}
     zones, entries = endpoints(told)
@@ -58,7 +61,7 @@
     )
     discovery = read_address(told["discovery"]) if told["discovery"] is not None else None
     return JsonRpcService(
-        name, read_address(told["listen"]), settings(told, classes, zones, discovery is None), zones, entries,
+        name, read_address(told["listen"]), settings(told, classes, zones, shares), zones, entries,
         discovery, rules, Proofs(frozenset(told["never_ran_errors"]), frozenset(told["failure_errors"])),
     )
 
@@ -92,7 +95,8 @@
     return zones, tuple(entries)
 
 
-def settings(told: Clean, classes: tuple[i.RequestClass, ...], zones: tuple[str, ...], fixed: bool) -> i.Settings:
+def settings(told: Clean, classes: tuple[i.RequestClass, ...], zones: tuple[str, ...],
+             shares: i.Shares) -> i.Settings:
     limits = i.Limits(
         max_attempts=told["max_attempts"], cancel=True, second_copies=told["copies"],
         retry_after=told["max_retry_after_ms"] > 0.0, max_retry_after=told["max_retry_after_ms"],
@@ -100,6 +104,7 @@
         streams_per_connection=STREAMS,
     )
     return i.Settings(
-        classes=classes, limits=limits, rules=RULES, group_size=told["instances"], zone=zones.index(told["zone"]),
-        discovery="pushed" if fixed else "on_request",
+        classes=classes, limits=limits, rules=RULES, group_size=told["instances"], me=told["number"],
+        zone=zones.index(told["zone"]), discovery="on_request" if told["discovery"] is not None else "pushed",
+        shares=shares,
     )
--- a/zinclever/configuration/relations.py
+++ b/zinclever/configuration/relations.py
@@ -11,6 +11,7 @@
 
 from ..core.descriptors import RESERVED
 from ..core.protocol import Address, read_address
+from ..fleet.subset import EACH_SHARED
 from .findings import Finding, Path
 
 Clean = dict[str, Any]
@@ -31,6 +32,8 @@
         yield from endpoints(service, path)
         yield from proofs(service, path)
         yield from attempts(service, path)
+        yield from instances(service, path, clean.get("shares") or {})
+    yield from floor(clean.get("shares") or {})
     yield from addresses(services, elsewhere or {})
     yield from sizes(clean, services)
 
@@ -185,6 +188,29 @@
                           f"write less than {deadline:g}", ((*path, "classes", name, "deadline_ms"),))
 
 
+def instances(service: Clean, path: Path, shares: Clean) -> Iterator[Finding]:
+    """What a service says of its many instances."""
+    count, number = service["instances"], service["number"]
+    if count is None or number is None:
+        return
+    if number >= count:
+        yield Finding("ZC233", (*path, "number"), f"{number} is none of 0 to {count - 1}",
+                      f"write a number under {count}, or raise instances", ((*path, "instances"),))
+    cap, least, listed = shares.get("connections"), shares.get("subset"), len(service["endpoints"] or ())
+    if cap and listed:
+        known = count * min(1.0, max(least or listed, EACH_SHARED * listed / count) / listed)
+        if known > cap:
+            yield Finding("ZC234", ("shares", "connections"),
+                          f"each endpoint of {path[-1]} is known to {known:.0f} instances, and may have {cap:g}",
+                          "write a smaller subset, or more connections", ((*path, "instances"),))
+
+
+def floor(shares: Clean) -> Iterator[Finding]:
+    if shares.get("floor_per_s") and not shares.get("retry_ratio") and not shares.get("copy_ratio"):
+        yield Finding("ZC235", ("shares", "floor_per_s"), "neither retry_ratio nor copy_ratio is set",
+                      "set one of them, or leave floor_per_s out")
+
+
 def meets(one: Address, other: Address) -> bool:
     """Whether listening at one takes up the other, or reaches it."""
     return one[1] == other[1] and (one[0] == other[0] or one[0] in ANY_HOST or other[0] in ANY_HOST)
--- a/zinclever/core/ledger.py
+++ b/zinclever/core/ledger.py
@@ -8,13 +8,16 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from functools import partial
+from random import Random
 from types import MappingProxyType
 from typing import Any
 
 from .. import interface as i
+from ..fleet.limits import Connections
 from ..policy import Balancer
 from .descriptors import Descriptors
 from .protocol import Ended, Entry, Exchange, Failed, Final, Incoming, OnList, Refused, Served, Source, Wire
+from .view import View
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +73,8 @@
         self.wire, self.descriptors = wire, descriptors
         self.loop = asyncio.get_running_loop()
         self.clock = make_clock()
+        self.connections = Connections(Random())
+        self.view = self.make_view()
         self.configure_wire()
         self.requests: dict[str, Request] = {}
         self.events: deque[tuple[Balancer, i.Event]] = deque()
@@ -92,7 +97,14 @@
 
     def configure_wire(self) -> None:
         limits = self.settings.limits
-        self.wire.configure(limits.connect_timeout, limits.connection_idle)
+        self.wire.configure(limits.connect_timeout, limits.connection_idle, self.connections)
+
+    def make_view(self) -> View | None:
+        """None where nothing is shared out: the whole list is used then, and nothing counts it."""
+        if self.settings.shares == i.Shares():
+            self.connections.configure(self.settings.shares, 1, 0, 0)
+            return None
+        return View(self.settings)
 
     def start(self) -> None:
         """Begin with the list as it was last held."""
@@ -102,7 +114,8 @@
         """Serve by other settings from now on; what has been taken is finished by those it came under."""
         self.balancer, self.settings = balancer, balancer.settings
         self.configure_wire()
-        self.feed(i.MembershipNews("remembered", [entry for entry, _ in self.source.remembered()]))
+        self.view = self.make_view()
+        self.on_list("remembered", self.source.remembered())
 
     # --- events ---
 
@@ -142,7 +155,26 @@
             self.give_up(request)
 
     def on_list(self, kind: i.ListKind, entries: Sequence[Entry]) -> None:
-        """News of the list: addresses for the wire, the rest for the balancers."""
+        """News of the list, as far as this instance uses it."""
+        self.ready = self.ready or bool(entries)
+        if self.view is None:
+            self.tell(kind, entries)
+        else:
+            self.tell(kind, self.view.news(self.clock(), kind, entries))
+            self.share_out(self.view)
+
+    def share_out(self, view: View) -> None:
+        """Take this instance's part of what all may use, by the list and the subset at hand."""
+        settings = self.settings
+        self.connections.configure(settings.shares, settings.group_size, len(view), len(view.subset.members))
+
+    def move(self, view: View) -> None:
+        """The subset is to change for other reasons than news of the list."""
+        self.tell("changes", view.changes(self.clock()))
+        self.share_out(view)
+
+    def tell(self, kind: i.ListKind, entries: Sequence[Entry]) -> None:
+        """Addresses for the wire, the rest for the balancers."""
         for listed, address in entries:
             if listed.phase == "gone":
                 self.wire.forget(listed.endpoint)
@@ -153,8 +185,8 @@
             for endpoint in self.wire.listed():
                 if endpoint not in present:
                     self.wire.forget(endpoint)
-        self.ready = self.ready or bool(entries)
-        news = i.MembershipNews(kind, [listed for listed, _ in entries])
+        of = len(self.view) if self.view is not None else 0
+        news = i.MembershipNews(kind, [listed for listed, _ in entries], of)
         for balancer in {r.balancer for r in self.requests.values()} - {self.balancer}:
             self.feed(news, balancer)
         self.feed(news)
@@ -175,6 +207,8 @@
         request = Request(told, now + told.wait, self.balancer, answer)
         self.requests[told.id] = request
         request.guard = self.loop.call_later(max(0.0, told.wait - GUARD) / 1000.0, self.give_up, request)
+        if self.view is not None and self.view.subset.load(now, len(self.requests)):
+            self.move(self.view)
         self.feed(
             i.RequestArrived(
                 told.id, told.klass, request.deadline - EARLY, told.tenant, told.key, told.work, told.retry
@@ -287,6 +321,8 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         request.live -= 1
+        if self.view is not None:
+            self.judge(self.view, attempt.endpoint, outcome)
         if reply is not None and request.answer is not None:
             if outcome == "served":
                 self.finish(request.told.id, Served(reply))
@@ -301,6 +337,15 @@
             request.balancer,
         )
 
+    def judge(self, view: View, endpoint: str, outcome: i.Outcome) -> None:
+        """What an outcome tells of whom to know, and of how much all instances use."""
+        if outcome == "served":
+            view.subset.served(endpoint)
+        elif outcome == "full":
+            self.connections.refused(1000.0 * self.loop.time())
+        elif outcome == "connect_failed" and view.subset.failed(self.clock(), endpoint):
+            self.move(view)
+
     # --- time ---
 
     def set_timer(self, action: i.SetTimer) -> None:
--- a/zinclever/core/pools.py
+++ b/zinclever/core/pools.py
@@ -7,6 +7,7 @@
 from typing import Generic, Protocol, TypeVar
 
 from .. import interface as i
+from ..fleet.limits import Connections
 from .descriptors import Descriptors
 from .protocol import Address
 
@@ -44,10 +45,12 @@
 class Pool(Generic[C]):
     """The connections to one endpoint that are free, oldest first."""
 
-    __slots__ = ("address", "idle", "left")
+    __slots__ = ("address", "idle", "left", "open")
 
     def __init__(self, address: Address) -> None:
         self.address = address
+        self.open = 0
+        """Connections to it, those in use and those being dialled among them."""
         self.left = False
         """The endpoint is gone from there: connections are not kept."""
         self.idle: list[C] = []
@@ -64,9 +67,12 @@
         self.idle: dict[C, tuple[float, Pool[C]]] = {}
         """Those free, longest idle first: when each is to be closed, and its pool."""
         self.dials: set[asyncio.Task[None]] = set()
+        self.open = 0
+        """Of this wire's, as a pool counts its own."""
         self.reaper: asyncio.TimerHandle | None = None
 
-    def configure(self, connect_timeout: float, idle_limit: float) -> None:
+    def configure(self, connect_timeout: float, idle_limit: float, connections: Connections) -> None:
+        self.connections = connections
         self.connect_timeout = connect_timeout / 1000.0
         self.idle_for = IDLE_SHARE * idle_limit / 1000.0
 
@@ -108,10 +114,13 @@
                 attempt.run(connection)
                 return
             connection.abort()
+        if not self.connections.may_open(1000.0 * self.loop.time(), pool.open, self.open):
+            self.loop.call_soon(attempt.end, "barred")
+            return
         if self.descriptors.full() and not self.descriptors.evict():
             self.loop.call_soon(attempt.end, "connect_failed")
             return
-        self.descriptors.open += 1
+        self.count(pool, 1)
         task = self.loop.create_task(self.connect(pool, attempt))
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
@@ -120,10 +129,11 @@
         """Dial for one attempt; if that is cancelled meanwhile, the connection is kept for the next."""
         try:
             connection = await self.dial(
-                pool.address, self.connect_timeout, lambda c: self.free(pool, c), self.lost
+                pool.address, self.connect_timeout, lambda c: self.free(pool, c), lambda c: self.lost(pool, c)
             )
         except OSError:
-            self.descriptors.open -= 1
+            self.count(pool, -1)
+            self.connections.refused(1000.0 * self.loop.time())
             attempt.end("connect_failed")
             return
         if attempt.waiting():
@@ -131,6 +141,12 @@
         else:
             self.free(pool, connection)
 
+    def count(self, pool: Pool[C], by: int) -> None:
+        """One connection more, or less."""
+        pool.open += by
+        self.open += by
+        self.descriptors.open += by
+
     # --- idle connections ---
 
     def evict(self) -> bool:
@@ -170,10 +186,9 @@
         for connection in list(pool.idle) if pool else ():
             self.drop(connection)
 
-    def lost(self, connection: C) -> None:
-        self.descriptors.open -= 1
-        if connection in self.idle:
-            _, pool = self.idle.pop(connection)
+    def lost(self, pool: Pool[C], connection: C) -> None:
+        self.count(pool, -1)
+        if self.idle.pop(connection, None) is not None:
             pool.idle.remove(connection)
 
     def close(self) -> None:
--- a/zinclever/core/protocol.py
+++ b/zinclever/core/protocol.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple, Protocol
 
 from .. import interface as i
+from ..fleet.limits import Connections
 
 Address = tuple[str, int]
 #: An endpoint as its source lists it, and where it is found.
@@ -82,8 +83,8 @@
 class Wire(Protocol):
     """Attempts on endpoints, and the connections that carry them."""
 
-    def configure(self, connect_timeout: float, idle_limit: float) -> None:
-        """Take new limits, in ms."""
+    def configure(self, connect_timeout: float, idle_limit: float, connections: Connections) -> None:
+        """Take new limits, in ms, and who says whether one more connection may be opened."""
 
     def place(self, endpoint: str, address: Address) -> None:
         """An endpoint is found at this address from now on."""
--- a/zinclever/core/shared.py
+++ b/zinclever/core/shared.py
@@ -7,6 +7,8 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Generic, Protocol, TypeVar
 
+from .. import interface as i
+from ..fleet.limits import Connections
 from .descriptors import Descriptors
 from .pools import IDLE_SHARE, Carried
 from .protocol import Address
@@ -87,7 +89,8 @@
         self.dials: set[asyncio.Task[None]] = set()
         self.reaper: asyncio.TimerHandle | None = None
 
-    def configure(self, connect_timeout: float, idle_limit: float) -> None:
+    def configure(self, connect_timeout: float, idle_limit: float, connections: Connections) -> None:
+        self.connections = connections
         self.connect_timeout = connect_timeout / 1000.0
         self.idle_for = IDLE_SHARE * idle_limit / 1000.0
 
@@ -137,10 +140,14 @@
         if connection is not None and connection.pending() < MOST_PENDING:
             self.resting.pop(connection, None)
             attempt.run(connection)
-        elif len(pool.waiting) < MOST_PENDING and (pool.dialling or self.open_one(pool)):
+            return
+        why: i.Outcome | None = "connect_failed" if len(pool.waiting) >= MOST_PENDING else None
+        if why is None and not pool.dialling:
+            why = self.open_one(pool)
+        if why is None:
             pool.waiting.append(attempt)
         else:
-            self.loop.call_soon(attempt.end, "connect_failed")
+            self.loop.call_soon(attempt.end, why)
 
     def pick(self, pool: Pool[C]) -> C | None:
         """A connection to share. Where all have many pending, another one is opened beside."""
@@ -153,17 +160,20 @@
             self.open_one(pool)
         return connection
 
-    def open_one(self, pool: Pool[C]) -> bool:
+    def open_one(self, pool: Pool[C]) -> i.Outcome | None:
+        """Dial one more; or how an attempt ends that can't go out without."""
         if len(pool.connections) >= MOST_CONNECTIONS:
-            return False
+            return "connect_failed"
+        if not self.connections.may_open(1000.0 * self.loop.time(), len(pool.connections), len(self.homes)):
+            return "barred"
         if self.descriptors.full() and not self.descriptors.evict():
-            return False
+            return "connect_failed"
         self.descriptors.open += 1
         pool.dialling = True
         task = self.loop.create_task(self.connect(pool))
         self.dials.add(task)
         task.add_done_callback(self.dials.discard)
-        return True
+        return None
 
     async def connect(self, pool: Pool[C]) -> None:
         """Dial; who has waited for it shares the connection, or fails with it."""
@@ -171,6 +181,7 @@
             connection = await self.dial(pool.address, self.connect_timeout, self)
         except OSError:
             self.descriptors.open -= 1
+            self.connections.refused(1000.0 * self.loop.time())
             pool.dialling = False
             waiting, pool.waiting = pool.waiting, deque()
             for attempt in waiting:
--- a/zinclever/discovery/catalog.py
+++ b/zinclever/discovery/catalog.py
@@ -5,12 +5,14 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
+from random import Random
 from typing import Any
 
 import orjson
 
 from .. import interface as i
 from ..core.protocol import Address, Entry, OnList, read_address
+from ..fleet.limits import Calls
 from ..http1.connection import Broken, ClientConnection, Reply, dial
 
 log = logging.getLogger(__name__)
@@ -121,8 +123,10 @@
 
     def __init__(self, address: Address, settings: i.Settings, zones: Sequence[str], known: dict[str, Any],
                  on_list: OnList) -> None:
-        self.wait = min(max(WATCH_EACH * settings.group_size, WATCH_LEAST), WATCH_MOST)
-        self.on_list, self.known = on_list, known
+        self.on_list, self.known, self.rng = on_list, known, Random()
+        self.refusals = 0
+        self.pause: asyncio.TimerHandle | None = None
+        """Before the next call."""
         self.connect_timeout = settings.limits.connect_timeout
         self.configure(settings, zones)
         self.hosts: dict[str, dict[str, Any]] = {}  # the list, as discovery words it
@@ -133,6 +137,10 @@
     def configure(self, settings: i.Settings, zones: Sequence[str]) -> None:
         """Read the list by these names from now on."""
         self.pushed, self.zones = settings.discovery == "pushed", zones
+        least = min(max(WATCH_EACH * settings.group_size, WATCH_LEAST), WATCH_MOST)
+        calls = settings.shares.list_calls_per_s
+        self.calls = Calls(calls, settings.group_size, settings.rules.ask_within, self.rng)
+        self.wait = self.calls.watch_for(least) if calls else least
 
     def connect(self, address: Address) -> None:
         self.address = address
@@ -184,6 +192,7 @@
         changed. Those that follow at once wait for changes.
         """
         self.watching = on
+        self.unpause()
         if on:
             self.next_call(0.0)
         else:
@@ -199,14 +208,29 @@
         kind, version, hosts = news
         if kind == "refused":
             self.watching = False
+            self.refusals += 1
             if self.pushed:
-                self.watch_call.loop.call_later(AGAIN / 1000.0, self.watch, True)
+                self.later(self.calls.again(self.refusals) if self.calls.span else AGAIN, lambda: self.watch(True))
                 return
         else:
+            self.refusals = 0
             self.version = version
-            self.next_call(self.wait)
+            if hosts and self.calls.span:
+                self.later(self.calls.gap(), lambda: self.next_call(self.wait))
+            else:
+                self.next_call(self.wait)
         self.tell(kind, hosts)
 
+    def later(self, pause: float, act: Callable[[], None]) -> None:
+        """Call again after a pause in ms, unless something else is done before."""
+        self.unpause()
+        self.pause = self.watch_call.loop.call_later(pause / 1000.0, act)
+
+    def unpause(self) -> None:
+        if self.pause is not None:
+            self.pause.cancel()
+            self.pause = None
+
     def fetch(self) -> None:
         """The whole list, once."""
         self.fetch_call.ask("", 0.0)
@@ -222,5 +246,6 @@
 
     def stop(self) -> None:
         self.watching = False
+        self.unpause()
         self.watch_call.stop()
         self.fetch_call.stop()
--- /dev/null
+++ b/zinclever/fleet/limits.py
@@ -0,0 +1,211 @@
+"""One instance's part of what all instances together may use, so that totals stay under stated caps at any size.
+
+Nobody counts the total: each instance knows how many there are and takes its part. Where that was told wrongly
+the servers' own refusals take the part back (additive increase, multiplicative decrease, as in RFC 5681), and a
+part that grows does so slowly, so that a change of the group is no burst.
+"""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from ..interface import Shares
+
+SPAN = 10_000.0  # ms over which a ratio holds: as long as the usual window of retry budgets
+KEEP = 1_000.0  # ms of a rate that may be saved up: all instances may spend theirs at the same instant
+EQUAL = 0.5  # of the cap on connections is shared evenly
+HOT = 0.25  # of it is for the busy ones; the rest is room for unevenness
+UNEVEN = 1.5  # times its even part that an instance may hold to one server: EQUAL * UNEVEN + HOT = 1
+STEP_EACH = 1_000.0  # ms between two steps up of who lacks connections
+STEP = 0.1  # of its equal part that such a step adds: a trouble of seconds makes nobody a busy one
+CALM_FOR = 30_000.0  # ms without lack after which what is above the equal part is given back, step by step
+BACK_OFF = 0.7  # factor for each refusal
+BACK_OFF_EACH = 250.0  # ms between two of them: refusals of one burst are one piece of news
+START_PART = 0.5  # of the time within which the list has to be asked for
+RETRY_FIRST = 300.0  # ms
+RETRY_MOST = 1.0 / 3.0  # of that time, between two tries where discovery has room for them
+FAILED_PART = 2.0  # times it, at the most: half of the four that the rules allow after a failed call
+LONGEST_WATCH = 120_000.0  # ms: a discovery that has fallen silent is noticed no sooner
+LEAST = 1.0 / 64.0  # of its equal part that an instance goes down to: below, it could not find out that all is well
+
+
+class Bucket:
+    """So many a second on the long run, and what is saved up of them; parts below one are taken by chance.
+
+    Guards the quiet: where an instance's part is one in a hundred seconds, all of them together still have their
+    rate, at once after a pause as much as later. It begins with a random part of what it can hold, as all may
+    begin together.
+    """
+
+    __slots__ = ("at", "capacity", "rate", "rng", "tokens")
+
+    def __init__(self, rng: Random) -> None:
+        self.rng = rng
+        self.rate = self.capacity = self.tokens = 0.0
+        self.at = -math.inf
+
+    def configure(self, rate: float, keep: float = KEEP) -> None:
+        """``rate`` a ms from now on, of which ``keep`` ms may be saved up."""
+        first = self.capacity == 0.0
+        self.rate, self.capacity = rate, rate * keep
+        self.tokens = self.rng.random() * self.capacity if first else min(self.tokens, self.capacity)
+
+    def take(self, now: float) -> bool:
+        """Whether one may be spent now. On the average, and in the long run, no more than told."""
+        if now > self.at:
+            if self.at > -math.inf:
+                self.tokens = min(self.capacity, self.tokens + self.rate * (now - self.at))
+            self.at = now
+        if self.tokens < 1.0 and self.rng.random() >= self.tokens:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class Budget:
+    """Retries or copies: a share of the requests over some seconds, and a floor for the quiet."""
+
+    __slots__ = ("at", "floor", "ratio", "saved")
+
+    def __init__(self, ratio: float, rng: Random) -> None:
+        self.ratio, self.floor = ratio, Bucket(rng)
+        self.saved, self.at = 0.0, -math.inf
+
+    def configure(self, floor: float) -> None:
+        """``floor``: so many a ms are free."""
+        self.floor.configure(floor)
+
+    def asked(self, now: float) -> None:
+        """A request has come."""
+        self.fade(now)
+        self.saved += self.ratio
+
+    def fade(self, now: float) -> None:
+        if now > self.at:
+            self.saved *= math.exp((self.at - now) / SPAN)
+            self.at = now
+
+    def take(self, now: float) -> bool:
+        """Whether one more may go out."""
+        self.fade(now)
+        if self.saved >= 1.0:
+            self.saved -= 1.0
+            return True
+        return self.floor.take(now)
+
+
+class Connections:
+    """How many connections one instance may hold and open.
+
+    Each begins with its equal part. Who lacks connections goes beyond it step by step, up to a busy one's part; a
+    server's refusal takes back at once, of busy ones and of all. A part of less than one connection to a server
+    counts as one, so that the cap that holds is at least the number of instances that share a server.
+    """
+
+    __slots__ = (
+        "cap", "each", "equal", "handshakes", "handshakes_cap", "hot", "hot_each", "lacked_at", "level", "refused_at",
+        "rng", "stepped_at", "width",
+    )
+
+    def __init__(self, rng: Random) -> None:
+        self.rng = rng
+        self.cap = self.handshakes_cap = 0.0
+        self.equal = self.hot = self.hot_each = self.each = math.inf
+        self.level = math.inf
+        self.width = 1
+        self.lacked_at = self.refused_at = self.stepped_at = -math.inf
+        self.handshakes = Bucket(rng)
+
+    def configure(self, shares: Shares, group: int, servers: int, width: int) -> None:
+        """Take the caps on each of ``servers``, in a group of so many, of which this one meets ``width``.
+
+        A smaller part takes effect at once; a larger one is gone up to by steps, as news of the group may be wrong.
+        """
+        self.handshakes_cap = shares.handshakes_per_s
+        if self.handshakes_cap and servers:
+            self.handshakes.configure(self.handshakes_cap / 1000.0 * servers / group)
+        self.width = max(1, width)
+        if not shares.connections or not servers:
+            self.cap, self.equal = 0.0, math.inf
+            return
+        first = not self.cap
+        self.cap = shares.connections
+        self.equal = max(1.0, EQUAL * self.cap * servers / group)
+        self.hot = self.equal + HOT * self.cap * servers / min(shares.busy, group)
+        self.hot_each = HOT * self.cap / min(shares.busy, group)
+        self.level = self.equal if first else min(self.level, self.hot)
+
+    def settle(self, now: float) -> None:
+        """Go back towards the equal part, from below and, after a calm, from above."""
+        if self.stepped_at == -math.inf:
+            self.stepped_at = now
+        if now - self.stepped_at < STEP_EACH:
+            return
+        steps = min(100.0, (now - self.stepped_at) / STEP_EACH)
+        if self.level < self.equal:
+            self.level = min(self.equal, self.level + STEP * self.equal * steps)
+        elif now - self.lacked_at > CALM_FOR:
+            self.level = max(self.equal, self.level - STEP * self.equal * steps)
+        self.stepped_at = now
+
+    def most_each(self) -> float:
+        """Connections at once to one server."""
+        even = UNEVEN * self.equal / self.width
+        return max(1.0, min(UNEVEN * self.level / self.width, even + self.hot_each))
+
+    def may_open(self, now: float, to_server: int, in_all: int) -> bool:
+        """Whether one more may be opened to a server that has ``to_server``; takes its handshake."""
+        if self.cap:
+            self.settle(now)
+            if in_all >= self.level:
+                self.lack(now)
+                return False
+            if to_server >= self.most_each():
+                return False
+        return not self.handshakes_cap or self.handshakes.take(now)
+
+    def lack(self, now: float) -> None:
+        """All that it may hold is in use: a step up, once in a while."""
+        if self.level >= self.equal and now - self.lacked_at >= STEP_EACH:
+            self.lacked_at = now
+            self.level = min(self.hot, self.level + max(1.0, STEP * self.equal))
+
+    def refused(self, now: float) -> None:
+        """A server had no room: the totals are higher than this instance was told."""
+        if self.cap and now - self.refused_at >= BACK_OFF_EACH:
+            self.refused_at = self.stepped_at = now
+            self.level = max(1.0, LEAST * self.equal, BACK_OFF * self.level)
+
+
+class Calls:
+    """When one instance calls discovery: spread at the start, spaced after, backed off with jitter.
+
+    The rules come first: without a subscription the list has to be asked for within ``ask_within`` (four times that
+    after a failed call), so that the cap on calls can be kept by spacing only as far as that allows.
+    """
+
+    __slots__ = ("ask_within", "rng", "span")
+
+    def __init__(self, per_s: float, group: int, ask_within: float, rng: Random) -> None:
+        self.ask_within, self.rng = ask_within, rng
+        self.span = 1000.0 * group / per_s if per_s else 0.0
+        """ms between two calls of one instance, where all of them make use of the cap."""
+
+    def start(self) -> float:
+        """ms until the first call of an instance that begins with a list it remembers."""
+        return self.rng.random() * min(self.span, START_PART * self.ask_within)
+
+    def again(self, refusals: int) -> float:
+        """ms until the next call after so many refusals in a row: full jitter under a bound that doubles."""
+        most = min(max(RETRY_MOST * self.ask_within, 2.0 * self.span), FAILED_PART * self.ask_within)
+        bound = min(max(RETRY_FIRST, self.span) * 2.0 ** min(refusals, 16), most)
+        return bound * (0.1 + 0.9 * self.rng.random())
+
+    def watch_for(self, least: float) -> float:
+        """ms that a watch may wait for changes, so that the watches of all stay under half of the cap."""
+        return max(least, min(2.0 * self.span, LONGEST_WATCH)) * (0.9 + 0.2 * self.rng.random())
+
+    def gap(self) -> float:
+        """ms between the news that a watch brought and the next one: all hear the same news at once."""
+        return self.rng.random() * min(self.span, START_PART * self.ask_within)
--- a/zinclever/interface.py
+++ b/zinclever/interface.py
@@ -13,13 +13,14 @@
 
 Repeat = Literal["idempotent", "deduplicated", "at_most_once"]
 Outcome = Literal[
-    "served", "error", "full", "timeout", "connect_failed", "dropped", "reset", "cancelled", "not_sent"
+    "served", "error", "full", "timeout", "connect_failed", "dropped", "reset", "cancelled", "not_sent", "barred"
 ]
 ListKind = Literal["changes", "whole", "remembered", "refused"]
 Phase = Literal["ready", "draining", "gone"]
 
 #: Outcomes that prove the attempt never ran. ``dropped``: an open connection ended before all was written.
-NEVER_RAN = frozenset({"full", "connect_failed", "dropped", "not_sent"})
+#: ``barred``: this sidecar's own part of the connections or handshakes is used up.
+NEVER_RAN = frozenset({"full", "connect_failed", "dropped", "not_sent", "barred"})
 
 
 # --- settings ---------------------------------------------------------------------------------------------
@@ -105,6 +106,28 @@
     """More than that multiple of its capacity for this long pushes a cold endpoint over."""
 
 
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """What all balancers together may use, of which each takes its part. Zero: not bounded."""
+
+    subset: int = 0
+    """Endpoints of the home zone that each balancer knows at least; 0: it knows all."""
+    connections: float = 0.0
+    """Open at once to each endpoint, of all balancers."""
+    handshakes_per_s: float = 0.0
+    """To each endpoint, of all balancers."""
+    list_calls_per_s: float = 0.0
+    """To discovery, of all balancers."""
+    busy: int = 1
+    """Balancers that may be far busier than the rest at once; half of the connections is theirs."""
+    retry_ratio: float = 0.0
+    """Retries for each request, over some seconds."""
+    copy_ratio: float = 0.0
+    """Copies for each request, over some seconds."""
+    floor_per_s: float = 0.0
+    """Retries, and copies, to each endpoint of all balancers that are free whatever the ratios."""
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """Everything a balancer is told at its start."""
@@ -132,6 +155,7 @@
     """List entries carry a size that compares endpoints."""
     tick: float = 1.0
     """Least time between two batches of events."""
+    shares: Shares = field(default_factory=Shares)
 
     def __post_init__(self) -> None:
         def need(good: bool, name: str, what: str) -> None:
@@ -184,6 +208,8 @@
 
     kind: ListKind
     entries: Sequence[Listed] = ()
+    of: int = 0
+    """Endpoints in all, where the balancer is told a subset of them only; 0: it is told all."""
 
 
 class RequestArrived(NamedTuple):
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -17,6 +17,7 @@
 from collections import deque
 
 from . import interface as i
+from .fleet.limits import Budget, Calls
 
 COPY_DELAY = 0.36  # share of a class's aim: late enough that most are answered, early enough to win in time
 COPY_BUDGET = 0.2  # copies per request on the long run: what bounds the extra load
@@ -303,6 +304,11 @@
         self.warm_at = -NEVER
         self.ask_at = -NEVER if settings.discovery == "on_request" else NEVER
         self.refusals = 0
+        self.sharing = float(settings.group_size)  # balancers that share each endpoint: fewer than all, of a subset
+        shares, part = settings.shares, random.Random(seed)
+        self.calls = Calls(shares.list_calls_per_s, settings.group_size, self.rules.ask_within, part)
+        self.retries = Budget(shares.retry_ratio, part) if shares.retry_ratio else None
+        self.copies = Budget(shares.copy_ratio, part) if shares.copy_ratio else None
         self.timer_at = NEVER
         self.out: list[i.Action] = []
 
@@ -344,6 +350,9 @@
         r.place = self.place(now, r)
         self.recent.append(r.key)
         self.copy_tokens = min(COPY_BURST, self.copy_tokens + COPY_BUDGET)
+        for budget in (self.retries, self.copies):
+            if budget is not None:
+                budget.asked(now)
         if event.client_retry and klass.told.late_worth == 0 and self.crowded():
             # Its first try waited out most of the aim: in a crowd others can still be served in time.
             self.conclude(now, r)
@@ -389,6 +398,8 @@
         """An attempt failed: try elsewhere, or wait for room. False where nothing may be sent."""
         if outcome in ("cancelled", "not_sent") or not self.may_send(now, r):
             return False
+        if self.retries is not None and not self.retries.take(now):
+            return False
         if not self.admits(now, r) or not self.send(now, r):
             if r.live:
                 return True
@@ -588,7 +599,7 @@
 
     def enough(self) -> float:
         """How many unused endpoints to draw from: few, each shared with others, more with more in flight."""
-        shared = SHARED_BY * len(self.ready) / self.settings.group_size
+        shared = SHARED_BY * len(self.ready) / self.sharing
         return max(FEW, shared) + self.inflight
 
     def gives(self, r: Request) -> float:
@@ -692,9 +703,9 @@
         for k in self.classes:
             while k.copies and k.copies[0][0] <= now:
                 r = k.copies.popleft()[1]
-                if r.closed or not r.live or barred or self.copy_tokens < 1.0:
+                if r.closed or not r.live or barred or self.copy_tokens < 1.0 or not self.may_send(now, r):
                     continue
-                if self.may_send(now, r) and self.send(now, r):
+                if (self.copies is None or self.copies.take(now)) and self.send(now, r):
                     self.copy_tokens -= 1.0
 
     # --- attempts that are swallowed ---
@@ -863,13 +874,13 @@
         side.steered_at = now
         # The room for chance is one for all balancers together: each takes a part as if loads were even.
         own = 2.0 if side is self.near else FAR_OWN
-        side.window = busy + side.extra + SPREAD * math.sqrt(busy / self.settings.group_size) + own
+        side.window = busy + side.extra + SPREAD * math.sqrt(busy / self.sharing) + own
         if age < START_SPAN:
             # A short record tells little; without any bound a fleet in overload is full within a second.
             side.window = max(side.window, self.first_window(side))
 
     def first_window(self, side: Side) -> float:
-        return START_EACH * len(side.ready) / self.settings.group_size
+        return START_EACH * len(side.ready) / self.sharing
 
     def hold(self, r: Request) -> None:
         """Keep a request until there is room, or until it could no longer be served in time."""
@@ -926,16 +937,26 @@
         if news.kind == "refused":
             self.refusals += 1
             pause = min(RETRY_FIRST * 2.0**self.refusals, self.rules.ask_within / 3)
-            self.ask_at = now + pause * (0.5 + 0.5 * self.rng.random())
+            pause *= 0.5 + 0.5 * self.rng.random()
+            self.ask_at = now + (self.calls.again(self.refusals) if self.calls.span else pause)
             return
         if news.kind != "remembered":
             self.refusals, self.ask_at = 0, NEVER
+        elif news.entries and self.ask_at < now and self.calls.span:
+            # Guards discovery against all that start at once: each begins with the list that it remembers.
+            self.ask_at = now + self.calls.start()
         if news.kind == "changes" and len(news.entries) < CHANGED_FEW * len(self.endpoints):
             for x in news.entries:
                 self.change(now, x)
         else:
             self.relist(now, news)
         self.leaving = {e for e in self.leaving if e.phase == "gone" and e.inflight}
+        part = min(1.0, len(self.ready) / news.of) if news.of else 1.0
+        self.sharing = max(1.0, part * self.settings.group_size)
+        floor = self.settings.shares.floor_per_s / 1000.0 * (news.of or len(self.ready)) / self.settings.group_size
+        for budget in (self.retries, self.copies):
+            if budget is not None:
+                budget.configure(floor)
         for side in (self.near, self.far):
             if side.began == NEVER:
                 side.window = self.first_window(side)
