Find the one endpoint that is up, a cell's mates and a key's keeper without a walk

Need: where most of a large side looked down, was cold and full, or was outside a keyed request's cell, each draw fell back to a look at the whole fleet; the keeper of a key always did, and so did the measure of the warm ones.

Sides keep who is up (swap and remove), who is cold and until when (a heap, as for down marks), and a ring of marks for keepers (multi-probe consistent hashing, 21 probes). Of more than 64 endpoints at most 64 are looked through, from a random place on. Where most of a large side looks down, one of the two drawn is one that doesn't. Cells have lists of their own. Up to 64 endpoints nothing changes: the same random stream, the same decisions.

Tests cause it: 10,000 endpoints all cold and full, one with room in fifty, one up of 2,000, cells of 2 to 10,000, a cell with no other member, 2,000 drains in one update with requests out, a key with a quarter of the traffic.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -32,7 +34,7 @@
 def watched(s: Sidecar) -> None:
     Counted.touched = 0
     for side in (s.b.near, s.b.far):
-        side.ready = Counted(side.ready)
+        side.ready, side.up = Counted(side.ready), Counted(side.up)
     s.b.ready = Counted(s.b.ready)
 
 
@@ -68,7 +70,7 @@
     drawn: dict[str, Counter[str]] = {"sampled": Counter(), "looked through": Counter()}
     failed = 0
     for _ in range(20_000):
-        sampled = b.sample_two(now, r, b.near)
+        sampled = b.sample_two(now, r, b.near, 40)
         if sampled is None:  # too few tries: the side is looked through then
             failed += 1
             continue
@@ -90,9 +92,170 @@
         if n != 77:
             e.down_until = s.now + 1e6
             s.b.near.fell(s.now, e)
-    # Where most looks down the fault is as likely on this side: everything is tried, as it was.
     assert s.b.near.mostly_down(s.now)
-    assert s.ask() and isinstance(s.all[-1][1] if not isinstance(s.all[-1][1], i.SetTimer) else s.all[-2][1], i.Send)
+    s.b.near.one(s.b.rng, 2000)
+    watched(s)
+    # Where most looks down everything is tried; the one that doesn't is among the two of each draw.
+    for n in range(20):
+        r = s.ask()
+        assert s.sends(r)[0].endpoint == "e77" or n > 0
+        s.end(r)
+    assert sum(a.endpoint == "e77" for a in s.sends()) >= 10
+    assert Counted.touched <= 20 * 60, "a walk over the fleet"
+
+
+def test_all_cold_and_full_is_no_walk() -> None:
+    """10,000 endpoints that have just started: requests are held and looked for again without a walk."""
+    s = Sidecar(settings(group_size=1), fleet(10_000, started_at=1_000_000.0))
+    s.b.warm_rate = 1e-9
+    for e in s.b.endpoints.values():
+        e.tokens = 0.0
+    s.b.near.one(s.b.rng, 10_000)
+    watched(s)
+    for _ in range(20):
+        s.ask()
+        s.wait(10.0)
+    assert not s.sends() and Counted.touched < 20 * 20 * 400
+    s.wait(600.0)
+    assert len(s.of(i.Refuse)) == 20
+
+
+def test_one_of_ten_thousand_cold_ones_with_room_is_soon_found() -> None:
+    s = Sidecar(settings(group_size=1), fleet(10_000, started_at=1_000_000.0))
+    s.b.warm_rate = 1e-9
+    for n, e in enumerate(s.b.near.ready):
+        e.tokens = 1.0 if n % 50 == 7 else 0.0
+    r = s.ask()
+    s.wait(100.0)
+    assert s.sends(r)
+
+
+def cells(n: int, each: int) -> list[i.Listed]:
+    return [i.Listed(f"e{x}", cell=x // each) for x in range(n)]
+
+
+BOUND = replace(KEYED, group="cell")
+
+
+@pytest.mark.parametrize("each", [2, 5, 63, 64, 65, 500, 10_000])
+def test_a_retry_stays_in_its_cell_of_a_large_fleet(each: int) -> None:
+    listed = cells(10_000, each)
+    s = Sidecar(settings(BOUND), listed)
+    of = {x.endpoint: x.cell for x in listed}
+    s.ask()
+    watched(s)
+    for _ in range(30):
+        for _ in range(6):  # answers between, or all is taken for a crowd
+            s.end(s.ask(key="x"))
+        r = s.ask(key="k")
+        s.end(r, 0, "reset", complete=False)
+        tried = [a.endpoint for a in s.sends(r)]
+        assert len(tried) == 2 and of[tried[0]] == of[tried[1]] and tried[0] != tried[1]
+        s.end(r, 1)
+        s.wait(40.0)
+    assert Counted.touched < 30 * 7 * 60
+
+
+def test_a_group_without_another_member() -> None:
+    """Alone in its cell, or the rest of it has drained: there is nowhere to go but back."""
+    s = Sidecar(settings(BOUND), cells(300, 1))
+    r = s.ask(key="k")
+    home = s.sends(r)[0].endpoint
+    s.end(r, 0, "reset", complete=False)
+    assert {a.endpoint for a in s.sends(r)} == {home} or s.finals(r)
+    s = Sidecar(settings(BOUND), cells(300, 2))
+    r = s.ask(key="k")
+    home = s.sends(r)[0].endpoint
+    s.feed(i.MembershipNews("changes", [i.Listed(home, "draining", cell=int(home[1:]) // 2),
+                                        i.Listed(f"e{int(home[1:]) ^ 1}", "gone", cell=int(home[1:]) // 2)]))
+    s.end(r, 0, "reset", complete=False)
+    s.wait(500.0)
+    assert len(s.sends(r)) == 1 and isinstance(s.finals(r)[0], i.Refuse | i.Fail)
+
+
+def test_two_thousand_drains_in_one_update_while_requests_are_out() -> None:
+    """Nothing new goes to any of them: not copies, not retries, not what was held."""
+    s = Sidecar(settings(SAFE, KEYED), fleet(4000))
+    out = [s.ask(n % 2) for n in range(500)]
+    out = [r for r in out if s.sends(r)]
+    assert len(out) > 300
+    drained = {f"e{n}" for n in range(0, 4000, 2)}
+    s.feed(i.MembershipNews("changes", [i.Listed(name, "draining") for name in sorted(drained)]))
+    before = len(s.all)
+    rng = Random(4)
+    for r in out:
+        s.wait(1.0)
+        if not s.finals(r):
+            outcome: i.Outcome = rng.choice(["served", "reset", "full", "connect_failed"])
+            s.end(r, 0, outcome)
+        for _ in range(2):
+            new = s.ask()
+            if s.sends(new):
+                s.end(new)
+    s.wait(1000.0)
+    after = [a for _, a in s.all[before:] if isinstance(a, i.Send)]
+    assert len(after) > 500 and not {a.endpoint for a in after} & drained
+
+
+@pytest.mark.parametrize("group", [1, 20_000])
+def test_alone_and_as_one_of_many(group: int) -> None:
+    """Alone it draws from all; as one of 20,000 from a few that it comes to know."""
+    s = Sidecar(settings(group_size=group), fleet(2000))
+    s.serve(300)
+    reached = {a.endpoint for a in s.sends()}
+    assert len(reached) > 200 if group == 1 else len(reached) < 40
+
+
+def test_a_hot_key_is_spread() -> None:
+    """A quarter of the traffic bears one key, at 2,000 endpoints: several keepers take turns."""
+    s, rng = Sidecar(settings(warm_keys=True), fleet(2000)), Random(6)
+    hot: Counter[str] = Counter()
+    for n in range(2000):
+        is_hot = rng.random() < 0.25
+        r = s.ask(key="hot" if is_hot else f"k{n}")
+        if is_hot and s.sends(r):
+            hot[s.sends(r)[0].endpoint] += 1
+        s.wait(2.0)
+        if s.sends(r):
+            s.end(r)
+    total = sum(hot.values())
+    assert total > 400
+    # Kept together where it can be, and yet no endpoint has more than a quarter of it: 6 % of the traffic.
+    assert len(hot) >= 8 and hot.most_common(1)[0][1] < total / 4
+    assert sum(count for _, count in hot.most_common(16)) > total / 2
+
+
+def keepers(side: Side, n: int) -> list[str]:
+    return [side.keeper(zlib.crc32(f"key{k} 0".encode())).name for k in range(n)]
+
+
+def test_keepers_are_even_by_size_and_a_change_moves_few_keys() -> None:
+    sizes = [2.0 if n % 4 == 0 else 1.0 for n in range(200)]
+    s = Sidecar(settings(), weights(sizes))
+    side = s.b.near
+    before = keepers(side, 40_000)
+    counts = Counter(before)
+    large, small = ([counts[f"e{n}"] for n in range(200) if (n % 4 == 0) is big] for big in (True, False))
+    assert 1.6 < (sum(large) / 50) / (sum(small) / 150) < 2.4
+    assert max(small) < 1.6 * sum(small) / 150
+    s.feed(i.MembershipNews("changes", [i.Listed("e7", "gone")]))
+    after = keepers(side, 40_000)
+    assert {a for a, b in zip(before, after, strict=True) if a != b} == {"e7"}
+    s.feed(i.MembershipNews("changes", [i.Listed("e7", size=sizes[7])]))
+    assert keepers(side, 40_000) == before
+    other = Sidecar(settings(), weights(sizes)[::-1], seed=9)  # another balancer, told in another order
+    assert keepers(other.b.near, 40_000) == before
+
+
+def test_a_keeper_of_a_large_fleet_is_no_walk() -> None:
+    s = Sidecar(settings(warm_keys=True), fleet(10_000))
+    s.ask(key="a")
+    watched(s)
+    s.b.near.ring = Counted(s.b.near.ring)
+    for n in range(50):
+        s.end(s.ask(key=f"k{n}"))
+        s.wait(1.0)
+    assert Counted.touched < 50 * 60
 
 
 def test_down_marks_end_by_time_without_a_walk() -> None:
@@ -101,23 +264,23 @@
     for n, e in enumerate(side.ready[:80]):
         e.down_until = now + 10.0 * n
         side.fell(now, e)
-    assert side.mostly_down(now) and len(side.down) == 79
-    assert side.mostly_down(now + 200.0) and len(side.down) == 59
-    assert not side.mostly_down(now + 400.0) and len(side.down) == 39
-    assert not side.mostly_down(now + 1000.0) and not side.down and not side.revivals
+    assert side.mostly_down(now) and len(side.down.members) == 79
+    assert side.mostly_down(now + 200.0) and len(side.down.members) == 59
+    assert not side.mostly_down(now + 400.0) and len(side.down.members) == 39
+    assert not side.mostly_down(now + 1000.0) and not side.down.members and not side.down.due
 
 
 def test_marks_don_t_pile_up() -> None:
     """Guards against memory that grows with each failure."""
     side, now = Side(), 0.0
     s = Sidecar(settings(), fleet(3))
-    side.take(now, s.b.near.ready)
+    side.take(now, s.b.near.ready, 0.0)
     for n in range(10_000):
         now = float(n)
         e = side.ready[n % 3]
         e.down_until = now + 5.0
         side.fell(now, e)
-    assert len(side.revivals) < 10
+    assert len(side.down.due) < 10
 
 
 @pytest.mark.parametrize("size", [0, 1, 2, 3, 5, 33, 2000])
@@ -185,9 +348,10 @@
             assert [(e.name, e.zone, e.size) for e in mine] == [(e.name, e.zone, e.size) for e in theirs]
         assert {n: e.phase for n, e in s.b.endpoints.items()} == {n: e.phase for n, e in oracle.b.endpoints.items()}
         for side in (s.b.near, s.b.far):
+            assert sorted(e.rank for e in side.up) == [e.rank for e in side.ready if e not in side.down.members]
             assert [e for e in side.ready if e.size] == [e for e in side.ready if e.near is (side is s.b.near)]
             if side.ready:
-                side.one(s.b.rng)
+                side.one(s.b.rng, len(side.ready))
                 assert side.sums[-1] == pytest.approx(sum(e.size for e in side.ready))
 
 
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -60,8 +60,10 @@
 SHED_MOST = 0.95  # share of the demand held back at the most: the rest tells when the crowd has gone
 SMALL = 4  # endpoints up to which a side is looked through: draws there hit what has been used too often
 TRIES = 8  # draws that may hit what is not fit before a side is looked through
+MEASURED = 256  # warm endpoints by whose answers the cold ones are measured at the most
+LOOK = 64  # endpoints of a side that are looked through at the most: of more a part is, or they are drawn from
+PROBES = 21  # places on a ring where a key's keeper is sought: loads differ by some 5 % then (Appleton, O'Reilly 2015)
 CHANGED_FEW = 0.1  # share of the list up to which changes are taken one by one
-WARM_STEP = 0.01  # ms for each endpoint between two measures of the warm ones, as each looks at all
 KEYS = 32  # latest requests that a hot key is told from
 WARM_GAIN = 1.4  # by how much better an endpoint counts for a key it is likely to have met
 NEVER = math.inf
@@ -100,13 +102,14 @@
     __slots__ = (
         "cell", "down_until", "failures", "good", "inflight", "latency", "mark", "name", "near", "phase",
         "quiet_from", "quiet_to", "rank", "served", "served_at", "size", "started_at", "tokens", "tokens_at",
-        "zone",
+        "up_at", "zone",
     )
 
     def __init__(self, listed: i.Listed, now: float, rng: random.Random) -> None:
         self.name, self.rank, self.near = listed.endpoint, rng.random(), True
         self.mark = zlib.crc32(self.name.encode())
         self.inflight = 0
+        self.up_at = -1  # place among those of its side that are up
         self.forget(listed, now, rng)
 
     def forget(self, listed: i.Listed, now: float, rng: random.Random) -> None:
@@ -135,6 +138,17 @@
     return e.rank
 
 
+def mix(x: int) -> int:
+    """32 bits in, 32 well-mixed bits out: the finalizer of MurmurHash3 (Appleby)."""
+    x = (x ^ x >> 16) * 0x85EBCA6B % 2**32
+    x = (x ^ x >> 13) * 0xC2B2AE35 % 2**32
+    return x ^ x >> 16
+
+
+def ring_mark(e: Endpoint) -> int:
+    return mix(e.mark)
+
+
 def cut(listed: list[Endpoint], e: Endpoint) -> None:
     """Take an endpoint out of a list by rank; others may be of the same rank."""
     at = bisect.bisect_left(listed, e.rank, key=rank_of)
@@ -143,6 +157,27 @@
     del listed[at]
 
 
+class Timed:
+    """Endpoints of which something holds until an instant; it ends by time, not by a look at all."""
+
+    __slots__ = ("due", "members")
+
+    def __init__(self) -> None:
+        self.members: set[Endpoint] = set()
+        self.due: list[tuple[float, float, Endpoint]] = []
+
+    def add(self, until: float, e: Endpoint) -> None:
+        self.members.add(e)
+        heapq.heappush(self.due, (until, e.rank, e))
+
+    def over(self, now: float) -> list[Endpoint]:
+        """Whose time has passed: each is to be looked at, as it may have been prolonged."""
+        ended: list[Endpoint] = []
+        while self.due and self.due[0][0] <= now:
+            ended.append(heapq.heappop(self.due)[2])
+        return ended
+
+
 class Side:
     """The ready endpoints of the home zone, or of the others: each can carry so much.
 
@@ -151,63 +186,120 @@
     """
 
     __slots__ = (
-        "began", "down", "extra", "inflight", "load", "overdue", "peak", "ready", "revivals", "served",
-        "steered_at", "sums", "window",
+        "began", "cold", "down", "extra", "inflight", "load", "marks", "overdue", "peak", "ready", "ring", "served",
+        "steered_at", "sums", "up", "window",
     )
 
     def __init__(self) -> None:
         self.ready: list[Endpoint] = []  # in this balancer's own random order
         self.sums: list[float] = []  # of their sizes, one after another; empty: not made yet
-        self.down: set[Endpoint] = set()  # of these, those that are taken to be down
-        self.revivals: list[tuple[float, float, Endpoint]] = []  # when each is tried again
+        self.down, self.cold = Timed(), Timed()  # of these, those that are taken to be down; those that are cold
+        self.up: list[Endpoint] = []  # the others than those down, in no order
+        self.marks: list[int] = []  # of all, in order, where keys have keepers; empty: not made yet
+        self.ring: list[Endpoint] = []  # whose they are
         self.inflight = 0
         self.overdue = 0  # of these, where attempts are being swallowed
         self.served, self.load = Smooth(RATE_SPAN), Smooth(RATE_SPAN)
         self.peak = self.extra = self.steered_at = self.window = 0.0
         self.began = NEVER  # first answer
 
-    def take(self, now: float, ready: list[Endpoint]) -> None:
+    def take(self, now: float, ready: list[Endpoint], cold_for: float) -> None:
         """Take another list. Costs its length; draws between two lists don't."""
-        self.ready, self.sums = ready, []
-        self.down.clear()
-        self.revivals.clear()
+        self.ready, self.sums, self.marks, self.ring, self.up = ready, [], [], [], []
+        self.down, self.cold = Timed(), Timed()
         for e in ready:
-            if e.down_until > now:
-                self.fell(now, e)
+            self.enter(now, e, cold_for)
 
-    def insert(self, now: float, e: Endpoint) -> None:
+    def insert(self, now: float, e: Endpoint, cold_for: float) -> None:
         bisect.insort(self.ready, e, key=rank_of)
         self.sums = []
+        if self.marks:
+            at = bisect.bisect(self.marks, ring_mark(e))
+            self.marks.insert(at, ring_mark(e))
+            self.ring.insert(at, e)
+        self.enter(now, e, cold_for)
+
+    def enter(self, now: float, e: Endpoint, cold_for: float) -> None:
+        e.up_at = len(self.up)
+        self.up.append(e)
         if e.down_until > now:
             self.fell(now, e)
+        if e.started_at + cold_for > now:
+            self.cold.add(e.started_at + cold_for, e)
 
     def remove(self, e: Endpoint) -> None:
         cut(self.ready, e)
         self.sums = []
-        self.down.discard(e)
-
-    def one(self, rng: random.Random) -> Endpoint:
-        """Any one, by size. The running sums are made once after each change of the list."""
+        if self.marks:
+            at = bisect.bisect_left(self.marks, ring_mark(e))
+            while self.ring[at] is not e:
+                at += 1
+            del self.marks[at], self.ring[at]
+        self.down.members.discard(e)
+        self.cold.members.discard(e)
+        self.leave_up(e)
+
+    def leave_up(self, e: Endpoint) -> None:
+        """Out of those that are up: the last one takes its place."""
+        if e.up_at >= 0:
+            last = self.up.pop()
+            if last is not e:
+                self.up[e.up_at] = last
+                last.up_at = e.up_at
+            e.up_at = -1
+
+    def one(self, rng: random.Random, among: int) -> Endpoint:
+        """Any one of so many first ones, by size. The running sums are made once after each change of the list."""
         if not self.sums:
             self.sums = list(itertools.accumulate(e.size for e in self.ready))
-        return self.ready[bisect.bisect(self.sums, rng.random() * self.sums[-1], 0, len(self.ready) - 1)]
+        return self.ready[bisect.bisect(self.sums, rng.random() * self.sums[among - 1], 0, among - 1)]
 
     def fell(self, now: float, e: Endpoint) -> None:
         """An endpoint is taken to be down."""
         self.revive(now)
-        self.down.add(e)
-        heapq.heappush(self.revivals, (e.down_until, e.rank, e))
+        self.down.add(e.down_until, e)
+        self.leave_up(e)
+
+    def rise(self, e: Endpoint) -> None:
+        """It has answered, or it has been left alone for long enough."""
+        if e in self.down.members:
+            self.down.members.discard(e)
+            e.up_at = len(self.up)
+            self.up.append(e)
 
     def mostly_down(self, now: float) -> bool:
         self.revive(now)
-        return 2 * len(self.down) > len(self.ready)
+        return 2 * len(self.down.members) > len(self.ready)
 
     def revive(self, now: float) -> None:
         """Those whose time has passed count as up again."""
-        while self.revivals and self.revivals[0][0] <= now:
-            e = heapq.heappop(self.revivals)[2]
+        for e in self.down.over(now):
             if e.down_until <= now:
-                self.down.discard(e)
+                self.rise(e)
+
+    def warm(self, now: float) -> int:
+        """How many are not cold."""
+        for e in self.cold.over(now):
+            self.cold.members.discard(e)
+        return len(self.ready) - len(self.cold.members)
+
+    def keeper(self, seed: int) -> Endpoint:
+        """Whose mark on the ring comes soonest after one of some places that a seed gives, by size.
+
+        Each endpoint has one place, and one more or less moves the keys next to it only (multi-probe consistent
+        hashing, Appleton and O'Reilly 2015).
+        """
+        if not self.marks:
+            self.ring = sorted(self.ready, key=ring_mark)
+            self.marks = [ring_mark(e) for e in self.ring]
+        best, least = self.ring[0], NEVER
+        for n in range(PROBES):
+            at = mix(seed ^ n * 0x9E3779B1)
+            e = self.ring[bisect.bisect_left(self.marks, at) % len(self.ring)]
+            distance = float((ring_mark(e) - at) % 2**32) / e.size
+            if distance < least:
+                best, least = e, distance
+        return best
 
     def room(self) -> bool:
         """Whether one more may go out."""
@@ -287,6 +379,8 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.ready: list[Endpoint] = []
         self.leaving: set[Endpoint] = set()  # gone, and with attempts out
+        self.by_cell = any(c.group == "cell" for c in settings.classes)
+        self.cells: dict[int, list[Endpoint]] = {}  # those ready, where a class is bound to cells
         self.near, self.far = Side(), Side()  # far: those that are dear to cross to
         self.home, self.away = Smooth(2 * MEMORY), Smooth(2 * MEMORY)  # share of the aim that answers left
         self.asked = Smooth(2 * MEMORY)  # worth of a request
@@ -487,7 +581,7 @@
         drawn: tuple[Endpoint, Endpoint, float] | None = None
         for side in self.sides(now, r):
             if side.room():
-                drawn = self.sample_two(now, r, side) or self.choose_two(now, r, self.fit(now, r, side.ready))
+                drawn = self.draw_two(now, r, side)
                 if drawn is not None:
                     break
         drawn = drawn or self.choose_two(now, r, self.used_again(now, r))
@@ -508,27 +602,69 @@
             shares[pool.index(first)] = 0.0
         return first, self.rng.choices(pool, shares)[0] if any(shares) else first, gain
 
-    def sample_two(self, now: float, r: Request, side: Side) -> tuple[Endpoint, Endpoint, float] | None:
-        """The same draw from a whole side that is large, at a cost that doesn't grow with it.
+    def draw_two(self, now: float, r: Request, side: Side) -> tuple[Endpoint, Endpoint, float] | None:
+        """Two of a side at a cost that doesn't grow with it: by draws, or by a look at LOOK or ``enough`` of it."""
+        count = len(side.ready)
+        part = int(min(self.enough(), count))
+        if count <= LOOK:
+            drawn = None
+            if part == count > SMALL and not side.mostly_down(now):
+                drawn = self.sample_two(now, r, side, count)
+            return drawn or self.choose_two(now, r, self.fit(now, r, side.ready))
+        if self.bound_to_cell(r):
+            assert r.bound is not None
+            near = side is self.near
+            cell = [e for e in self.look(self.cells.get(r.bound.endpoint.cell, [])) if e.near is near]
+            return self.choose_two(now, r, self.fit(now, r, cell))
+        if side.mostly_down(now):
+            return self.try_all(now, r, side)
+        if part > LOOK:
+            drawn = self.sample_two(now, r, side, part)
+            return drawn or self.choose_two(now, r, self.fit(now, r, self.look(side.ready)))
+        drawn = self.choose_two(now, r, self.fit(now, r, side.ready[:LOOK]))
+        return drawn or self.sample_two(now, r, side, count)
+
+    def look(self, listed: list[Endpoint]) -> list[Endpoint]:
+        """As many as are looked through, from a random place on."""
+        at = int(self.rng.random() * len(listed)) if len(listed) > LOOK else 0
+        return listed[at : at + LOOK] + listed[: max(0, min(at, at + LOOK - len(listed)))]
+
+    def bound_to_cell(self, r: Request) -> bool:
+        return r.bound is not None and not r.klass.idempotent and r.klass.told.group == "cell"
+
+    def try_all(self, now: float, r: Request, side: Side) -> tuple[Endpoint, Endpoint, float] | None:
+        """Where most of a large side looks down the fault is as likely on this side: any one, and one of those that
+        don't, so that a single one that answers is found at once."""
+        other = self.fit_one(now, r, [side.one(self.rng, len(side.ready)) for _ in range(TRIES)])
+        up = self.fit_one(now, r, [side.up[int(self.rng.random() * len(side.up))] for _ in range(TRIES)]
+                          if side.up else [])
+        first, second = up or other, other or up
+        return (first, second, 1.0) if first is not None and second is not None else None
+
+    def fit_one(self, now: float, r: Request, drawn: list[Endpoint]) -> Endpoint | None:
+        used = [a.endpoint for a in r.attempts]
+        for e in drawn:
+            if e not in used and self.same_group(r, e) and self.warm_enough(now, e):
+                return e
+        return None
+
+    def sample_two(self, now: float, r: Request, side: Side, among: int) -> tuple[Endpoint, Endpoint, float] | None:
+        """The same draw from so many first ones of a side, at a cost that doesn't grow with it.
 
-        Endpoints are drawn by size from the whole list, and again while they are not fit: what remains has
-        the shares that it would have in a pool of the fit ones. None where the side is small or not drawn
-        from as a whole, or few are fit: those are looked for one by one.
+        Endpoints are drawn by size from the list, and again while they are not fit: what remains has the shares
+        that it would have in a pool of the fit ones. None where few are fit.
         """
-        count = len(side.ready)
-        if count <= SMALL or self.enough() < count or side.mostly_down(now):
-            return None
         first = self.keeper(now, r, side is self.near)
         gain = WARM_GAIN if first else 1.0
-        first = first or self.sample(now, r, side, None)
-        second = self.sample(now, r, side, first) if first is not None else None
+        first = first or self.sample(now, r, side, among, None)
+        second = self.sample(now, r, side, among, first) if first is not None else None
         return (first, second, gain) if first is not None and second is not None else None
 
-    def sample(self, now: float, r: Request, side: Side, other: Endpoint | None) -> Endpoint | None:
+    def sample(self, now: float, r: Request, side: Side, among: int, other: Endpoint | None) -> Endpoint | None:
         """One that is fit and not the other; None after a few tries."""
         used = [a.endpoint for a in r.attempts]
         for _ in range(TRIES):
-            e = side.one(self.rng)
+            e = side.one(self.rng, among)
             if e is other or e.down_until > now or e in used:
                 continue
             if self.same_group(r, e) and self.warm_enough(now, e):
@@ -546,7 +682,9 @@
         turn = int(self.rng.random() * self.recent.count(r.key))
         seed = zlib.crc32(f"{r.key} {turn}".encode())
         side = self.near if near else self.far
-        e = max(side.ready, key=lambda e: (((e.mark ^ seed) * 0x9E3779B1 % 2**32) / 2**32) ** (1.0 / e.size))
+        e = side.keeper(seed) if len(side.ready) > LOOK else max(
+            side.ready, key=lambda e: (((e.mark ^ seed) * 0x9E3779B1 % 2**32) / 2**32) ** (1.0 / e.size)
+        )
         used = any(a.endpoint is e for a in r.attempts)
         fit = not used and e.down_until <= now and self.same_group(r, e) and self.warm_enough(now, e)
         return e if fit else None
@@ -670,7 +808,8 @@
             e.served_at = now
             e.served.add(now, 0.0)
             e.down_until, e.failures = -NEVER, 0
-            self.side(e).down.discard(e)
+            if e.phase == "ready":
+                self.side(e).rise(e)
             k.latency.add(now, event.elapsed)
             k.mean = k.latency.mean(now, BASE_SHARE * k.told.aim, 0.3)
             known = k.occupied.weight > BASE_FROM
@@ -784,7 +923,7 @@
         """
         if not self.cold(now, e):
             return True
-        if now - self.warm_at > max(HOLD_STEP, WARM_STEP * len(self.ready)):
+        if now - self.warm_at > HOLD_STEP:
             self.measure_warm(now)
         rate = self.ramp(now, e) * e.size * self.warm_rate
         burst = max(1.0, rate * self.rules.overload_for / 8)
@@ -799,16 +938,16 @@
         do, when it comes back from an outage to clients that repeat all they ask.
         """
         self.warm_at = now
-        enough = int(self.enough())
+        enough = int(min(self.enough(), MEASURED))
         rates: list[float] = []
         for side in (self.near, self.far):
-            warm = [e for e in side.ready if not self.cold(now, e)]
-            if 3 * len(warm) >= len(side.ready) > 0:
-                served = sum((e.served.rate(now) for e in warm[:enough]), 0.0)
-                rates.append(served / sum((e.size for e in warm[:enough]), 0.0))
+            if 3 * side.warm(now) >= len(side.ready) > 0:
+                warm = list(itertools.islice((e for e in side.ready if not self.cold(now, e)), enough))
+                served = sum((e.served.rate(now) for e in warm), 0.0)
+                rates.append(served / sum((e.size for e in warm), 0.0))
         if rates:
             self.warm_rate = max(rates)
-        elif self.ready and self.warm_rate == 0.0:
+        elif self.ready and self.warm_rate == 0.0:  # all is cold: it starts with an even part of the demand
             self.warm_rate = self.demand.rate(now) / sum((e.size for e in self.ready[:enough]), 0.0)
 
     # --- admission ---
@@ -976,8 +1115,12 @@
         self.ready.sort(key=rank_of)
         for e in self.ready:
             e.near = self.is_near(e)
-        self.near.take(now, [e for e in self.ready if e.near])
-        self.far.take(now, [e for e in self.ready if not e.near])
+        self.near.take(now, [e for e in self.ready if e.near], self.rules.cold_for)
+        self.far.take(now, [e for e in self.ready if not e.near], self.rules.cold_for)
+        self.cells.clear()
+        if self.by_cell:
+            for e in self.ready:
+                self.cells.setdefault(e.cell, []).append(e)
 
     def change(self, now: float, x: i.Listed) -> None:
         """One endpoint's news, at a cost that doesn't grow with the list but for moving its tail."""
@@ -985,11 +1128,15 @@
         if known is not None and known.phase == "ready":
             cut(self.ready, known)
             self.side(known).remove(known)
+            if self.by_cell:
+                cut(self.cells[known.cell], known)
         e = self.hear(now, x)
         if e.phase == "ready":
             e.near = self.is_near(e)
             bisect.insort(self.ready, e, key=rank_of)
-            self.side(e).insert(now, e)
+            self.side(e).insert(now, e, self.rules.cold_for)
+            if self.by_cell:
+                bisect.insort(self.cells.setdefault(e.cell, []), e, key=rank_of)
         elif e.phase == "gone":
             self.leaving.add(e)
         for left in [e for e in self.leaving if e.phase == "gone" and not e.inflight]:
