--- a/zinclever/fleet/limits.py
+++ b/zinclever/fleet/limits.py
@@ -13,7 +13,8 @@
 from ..interface import Shares
 
 SPAN = 10_000.0  # ms over which a ratio holds: as long as the usual window of retry budgets
-KEEP = 1_000.0  # ms of a rate that may be saved up: all instances may spend theirs at the same instant
+KEEP = 500.0  # ms of a rate that may be saved up: all instances may spend theirs at the same instant
+STEADY = 2.0 / 3.0  # of a cap by the second that is the steady rate: with what is saved no second has more than the cap
 EQUAL = 0.5  # of the cap on connections is shared evenly
 HOT = 0.25  # of it is for the busy ones; the rest is room for unevenness
 UNEVEN = 1.5  # times its even part that an instance may hold to one server: EQUAL * UNEVEN + HOT = 1
@@ -34,8 +35,7 @@
     """So many a second on the long run, and what is saved up of them; parts below one are taken by chance.
 
     Guards the quiet: where an instance's part is one in a hundred seconds, all of them together still have their
-    rate, at once after a pause as much as later. It begins with a random part of what it can hold, as all may
-    begin together.
+    rate, at once after a pause as much as later.
     """
 
     __slots__ = ("at", "capacity", "rate", "rng", "tokens")
@@ -45,11 +45,12 @@
         self.rate = self.capacity = self.tokens = 0.0
         self.at = -math.inf
 
-    def configure(self, rate: float, keep: float = KEEP) -> None:
-        """``rate`` a ms from now on, of which ``keep`` ms may be saved up."""
+    def configure(self, most: float) -> None:
+        """No more than ``most`` a ms over any second from now on, what is saved up included."""
         first = self.capacity == 0.0
-        self.rate, self.capacity = rate, rate * keep
-        self.tokens = self.rng.random() * self.capacity if first else min(self.tokens, self.capacity)
+        self.rate = STEADY * most
+        self.capacity = self.rate * KEEP
+        self.tokens = self.capacity if first else min(self.tokens, self.capacity)
 
     def take(self, now: float) -> bool:
         """Whether one may be spent now. On the average, and in the long run, no more than told."""
@@ -57,14 +58,19 @@
             if self.at > -math.inf:
                 self.tokens = min(self.capacity, self.tokens + self.rate * (now - self.at))
             self.at = now
-        if self.tokens < 1.0 and self.rng.random() >= self.tokens:
-            return False
+        if self.tokens < 1.0:  # a try uses up what there is, won or not: else who tries often enough wins always
+            part, self.tokens = self.tokens, 0.0
+            return self.rng.random() < part
         self.tokens -= 1.0
         return True
 
 
 class Budget:
-    """Retries or copies: a share of the requests over some seconds, and a floor for the quiet."""
+    """Retries or copies: a share of the requests over some seconds, and a floor for the quiet.
+
+    One may be saved up for as long as it takes: guards those who ask less than once in some seconds, and who could
+    else never retry at all.
+    """
 
     __slots__ = ("at", "floor", "ratio", "saved")
 
@@ -83,7 +89,8 @@
 
     def fade(self, now: float) -> None:
         if now > self.at:
-            self.saved *= math.exp((self.at - now) / SPAN)
+            if self.saved > 1.0:
+                self.saved = 1.0 + (self.saved - 1.0) * math.exp((self.at - now) / SPAN)
             self.at = now
 
     def take(self, now: float) -> bool:
@@ -193,8 +200,8 @@
         """ms between two calls of one instance, where all of them make use of the cap."""
 
     def start(self) -> float:
-        """ms until the first call of an instance that begins with a list it remembers."""
-        return self.rng.random() * min(self.span, START_PART * self.ask_within)
+        """ms until the first call of an instance that begins with a list it remembers; a watch follows it."""
+        return self.rng.random() * min(2.0 * self.span, START_PART * self.ask_within)
 
     def again(self, refusals: int) -> float:
         """ms until the next call after so many refusals in a row: full jitter under a bound that doubles."""
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -492,8 +492,8 @@
         """An attempt failed: try elsewhere, or wait for room. False where nothing may be sent."""
         if outcome in ("cancelled", "not_sent") or not self.may_send(now, r):
             return False
-        if self.retries is not None and not self.retries.take(now):
-            return False
+        if self.retries is not None and outcome != "barred" and not self.retries.take(now):
+            return False  # what was barred has reached nobody: another try adds to no load
         if not self.admits(now, r) or not self.send(now, r):
             if r.live:
                 return True
