--- a/standins/many.py
+++ b/standins/many.py
@@ -141,8 +141,8 @@
         self.world, self.each = world, 1000.0 / lines_per_s
         self.layouts = [Layout(listed)]
         self.changes: list[Sequence[i.Listed]] = []
-        self.watching: dict[Instance, int] = {}
-        """Who waits for news, and the number of the call."""
+        self.watching: dict[Instance, tuple[int, float]] = {}
+        """Who waits for news, the number of the call, and when its caller gives it up."""
         self.free_at = 0.0
 
     @property
@@ -159,28 +159,29 @@
         self.layouts.append(layout)
         self.changes.append(entries)
         watching, self.watching = self.watching, {}
-        for instance, number in watching.items():
-            self.answer(instance, number)
+        for instance, (number, until) in watching.items():
+            self.answer(instance, number, until)
 
     def call(self, instance: Instance, number: int, wait: float) -> None:
         self.world.counts.calls[self.world.second()] += 1
-        self.world.at(self.world.now + wait + CALL_FOR, self.time_out, instance, number)
+        until = self.world.now + wait + CALL_FOR
+        self.world.at(until, self.time_out, instance, number)
         if wait and instance.version == self.version:
-            self.watching[instance] = number
-            self.world.at(self.world.now + wait, self.nothing, instance, number)
+            self.watching[instance] = number, until
+            self.world.at(self.world.now + wait, self.nothing, instance, number, until)
         else:
-            self.answer(instance, number)
+            self.answer(instance, number, until)
 
-    def nothing(self, instance: Instance, number: int) -> None:
-        if self.watching.get(instance) == number:
+    def nothing(self, instance: Instance, number: int, until: float) -> None:
+        if self.watching.get(instance) == (number, until):
             del self.watching[instance]
-            self.answer(instance, number)
+            self.answer(instance, number, until)
 
-    def answer(self, instance: Instance, number: int) -> None:
+    def answer(self, instance: Instance, number: int, until: float) -> None:
         """In line behind all that is to be sent before."""
         lines = 1 + sum(len(c) for c in self.changes[instance.version :])
         begins = max(self.world.now, self.free_at)
-        if begins > self.world.now + CALL_FOR:
+        if begins > until:
             return  # nobody waits for so long: the call times out
         self.free_at = begins + lines * self.each
         self.world.at(self.free_at, self.sent, instance, number, lines)
@@ -190,7 +191,8 @@
         instance.told(number, self.version)
 
     def time_out(self, instance: Instance, number: int) -> None:
-        self.watching.pop(instance, None)
+        if self.watching.get(instance, (0, 0.0))[0] == number:
+            del self.watching[instance]
         instance.told(number, -1)
 
 
