--- /dev/null
+++ b/benchmarks/request.py
@@ -0,0 +1,207 @@
+"""What one HTTP request costs in the sidecar, beside a bare relay in the same run; and where it goes.
+
+    python -m benchmarks.request            # CPU a request and latency, sidecar and relay in turn
+    python -m benchmarks.request DIR ...    # and the sidecars of other checkouts
+    python -m benchmarks.request profile    # Python calls a request, by function
+
+The relay parses requests and answers with httptools on uvloop, keeps connections, and decides nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import cProfile
+import io
+import multiprocessing
+import os
+import pstats
+import statistics
+import sys
+from collections import deque
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import httptools
+import uvloop
+
+from zinclever import interface as i
+from zinclever.core.descriptors import Descriptors
+from zinclever.core.ledger import Ledger
+from zinclever.discovery.fixed import Fixed
+from zinclever.http1.front import Front
+from zinclever.http1.wire import HttpWire
+from zinclever.native import make_balancer
+
+from .jsonrpc import ROOT, HttpCaller, HttpEcho, cpu_of, endpoints, free_port, measure, sidecar, wait_for
+
+TURNS = 12
+SPAN = 1.0  # s of each turn
+MANY = 32  # clients
+
+
+class Upstream(asyncio.Protocol):
+    """One connection to an endpoint, for one request at a time."""
+
+    def __init__(self, idle: deque[Upstream]) -> None:
+        self.idle = idle
+        self.parser = httptools.HttpResponseParser(self)
+        self.client: Downstream | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def send(self, client: Downstream, data: bytes) -> None:
+        self.client, self.body = client, b""
+        self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        client, self.client = self.client, None
+        self.idle.append(self)
+        if client is not None:
+            client.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(self.body), self.body))
+
+
+class Downstream(asyncio.Protocol):
+    """One client."""
+
+    def __init__(self, ports: list[int], idle: deque[Upstream]) -> None:
+        self.ports, self.idle = ports, idle
+        self.parser = httptools.HttpRequestParser(self)
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self.lines: list[bytes] = []
+
+    def on_url(self, url: bytes) -> None:
+        self.url = url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.lines.append(b"%b: %b\r\n" % (name, value))
+
+    def on_message_complete(self) -> None:
+        data = b"GET %b HTTP/1.1\r\n%b\r\n" % (self.url, b"".join(self.lines))
+        if self.idle:
+            self.idle.popleft().send(self, data)
+        else:
+            self.dialling = asyncio.ensure_future(self.dial(data))
+
+    async def dial(self, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        port = self.ports[id(self) % len(self.ports)]
+        _, made = await loop.create_connection(lambda: Upstream(self.idle), "127.0.0.1", port)
+        made.send(self, data)
+
+
+def relay_on(port: int, ports: list[int], cpu: int) -> None:
+    os.sched_setaffinity(0, {cpu})
+
+    async def main() -> None:
+        idle: deque[Upstream] = deque()
+        await asyncio.get_running_loop().create_server(lambda: Downstream(ports, idle), "127.0.0.1", port, backlog=1024)
+        await asyncio.Event().wait()
+
+    uvloop.run(main())
+
+
+@contextlib.contextmanager
+def relay(ports: list[int], cpu: int) -> Iterator[tuple[int, int]]:
+    """Its process id and port."""
+    port = free_port()
+    process = multiprocessing.Process(target=relay_on, args=(port, ports, cpu), daemon=True)
+    process.start()
+    wait_for(port)
+    assert process.pid is not None
+    try:
+        yield process.pid, port
+    finally:
+        process.kill()
+        process.join()
+
+
+def beside(trees: dict[str, Path]) -> None:
+    """All in turns that rotate, so that a slow moment of the machine falls on each."""
+    with endpoints(HttpEcho, 6) as ports, contextlib.ExitStack() as stack:
+        made = {"relay": stack.enter_context(relay(ports, 4))}
+        for name, tree in trees.items():
+            pid, _, port = stack.enter_context(sidecar(tree, [], ports, 4))
+            made[name] = pid, port
+        names = list(made)
+        for clients in (1, MANY):
+            used: dict[str, list[float]] = {n: [] for n in names}
+            rate: dict[str, list[float]] = {n: [] for n in names}
+            slow: dict[str, list[float]] = {n: [] for n in names}
+            for turn in range(TURNS):
+                at = turn % len(names)
+                for name in names[at:] + names[:at]:
+                    pid, port = made[name]
+                    before = cpu_of(pid)
+                    spans = measure(HttpCaller, port, clients, 5, SPAN)
+                    assert all(s >= 0.0 for s in spans)
+                    used[name].append(1e6 * (cpu_of(pid) - before) / len(spans))
+                    rate[name].append(len(spans) / SPAN)
+                    slow[name].append(1e3 * spans[int(0.99 * len(spans))])
+            for name in names:
+                cpu, per_s, p99 = (statistics.median(x[name]) for x in (used, rate, slow))
+                times = cpu / statistics.median(used["relay"])
+                print(f"{clients:3} clients  {name:12} CPU {cpu:6.1f} us a request ({times:.2f} of the relay)  "
+                      f"{per_s:6.0f}/s  p99 {p99:.2f} ms", flush=True)
+
+
+def profile_on(port: int, ports: list[int], cpu: int, out: Any) -> None:
+    os.sched_setaffinity(0, {cpu})
+    limits = i.Limits(max_attempts=3, cancel=True, second_copies=True, connect_timeout=250.0)
+    told = i.Settings(classes=(i.RequestClass(1000.0, 5000.0, repeat="idempotent", name="read"),), limits=limits)
+
+    async def main() -> None:
+        descriptors = Descriptors(4096)
+        listed = [(i.Listed(f"e{p}"), ("127.0.0.1", p)) for p in ports]
+        ledger = Ledger(make_balancer(told, 1), HttpWire(descriptors), lambda on: Fixed(listed, on), descriptors)
+        front = Front(ledger)
+        await asyncio.get_running_loop().create_server(front.connection, "127.0.0.1", port)
+        ledger.start()
+        await asyncio.sleep(2.0)
+        profiler = cProfile.Profile()
+        profiler.enable()
+        await asyncio.sleep(3.0)
+        profiler.disable()
+        text = io.StringIO()
+        pstats.Stats(profiler, stream=text).sort_stats("tottime").print_stats(45)
+        out.send(text.getvalue())
+
+    uvloop.run(main())
+
+
+def profile() -> None:
+    with endpoints(HttpEcho, 6) as ports:
+        port = free_port()
+        mine, theirs = multiprocessing.Pipe()
+        process = multiprocessing.Process(target=profile_on, args=(port, ports, 4, theirs), daemon=True)
+        process.start()
+        wait_for(port)
+        measure(HttpCaller, port, MANY, 5, 6.0)
+        print(mine.recv())
+        process.join()
+
+
+def main() -> None:
+    if sys.argv[1:] == ["profile"]:
+        profile()
+    else:
+        beside({"this": ROOT} | {Path(d).name: Path(d) for d in sys.argv[1:]})
+
+
+if __name__ == "__main__":
+    main()
