Take work that isn't needed out of each HTTP request

Need: headers were lowered and sets of those left out were joined for each request and answer, states were hashed in Python, a request was made twice to put in how long it had waited, and a draw of one went through random.choices.

The same draws: the sums and the bisection are those of random.choices.

--- a/zinclever/http1/connection.py
+++ b/zinclever/http1/connection.py
@@ -53,16 +53,21 @@
 Done = Callable[[Reply | Broken], None]
 
 
-def end_to_end(headers: Headers, *more: bytes) -> bytes:
-    """Header lines that a proxy passes on: all but those of the connection, and but ``more``.
+def end_to_end(headers: Headers, left_out: frozenset[bytes]) -> bytes:
+    """Header lines that a proxy passes on: all but those of the connection, which ``left_out`` holds among others.
 
     A header that ``Connection`` names is of the connection too.
     """
-    left_out = OWN_HEADERS.union(more)
+    lines: list[bytes] = []
     for name, value in headers:
-        if name.lower() == b"connection":
-            left_out = left_out.union(part.strip().lower() for part in value.split(b","))
-    return b"".join(b"%b: %b\r\n" % (k, v) for k, v in headers if k.lower() not in left_out)
+        low = name.lower()
+        if low == b"connection":
+            named = {part.strip().lower() for part in value.split(b",")}
+            if not named <= left_out:
+                return end_to_end(headers, left_out | named)
+        if low not in left_out:
+            lines.append(b"%b: %b\r\n" % (name, value))
+    return b"".join(lines)
 
 
 class ClientConnection(asyncio.Protocol):
--- a/zinclever/http1/front.py
+++ b/zinclever/http1/front.py
@@ -16,7 +16,7 @@
 
 from ..core.ledger import Ledger
 from ..core.protocol import Final, Incoming, Refused, Served
-from .connection import MOST_BODY, MOST_HEAD, Headers, end_to_end
+from .connection import MOST_BODY, MOST_HEAD, OWN_HEADERS, Headers, end_to_end
 from .wire import Payload
 
 log = logging.getLogger(__name__)
@@ -37,6 +37,8 @@
 FRESH = 0.1  # s after connecting in which a client is about to send: others make room first
 SWEEP = 0.2  # s between two looks at who has been too slow
 REASONS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
+TO_ENDPOINTS = OWN_HEADERS | {b"req-deadline"}  # what is not passed on as it came
+TO_CLIENTS = OWN_HEADERS | {b"srv-load"}
 NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
 
 
@@ -58,6 +60,8 @@
 class State(enum.Enum):
     """What a connection waits for."""
 
+    __hash__ = object.__hash__  # looked up several times a request; Enum's own is a call in Python
+
     READING = "a whole request"
     BUSY = "an answer from the ledger"
     WRITING = "its client to read the answer"
@@ -194,8 +198,9 @@
             self.sweeper.cancel()
             self.sweeper = None
 
-    def read(self, method: str, target: str, headers: Headers, body: bytes) -> Incoming:
-        """A request, checked: guards against the balancer being fed what it can't answer rightly."""
+    def read(self, method: str, target: str, headers: Headers, body: bytes, waited: float) -> Incoming:
+        """A request that has ``waited`` so many ms here, checked: guards against the balancer being fed what it can't
+        answer rightly."""
         named: dict[bytes, bytes] = {}
         for name, value in headers:
             named.setdefault(name.lower(), value)
@@ -216,7 +221,7 @@
             klass=klass,
             tenant=self.tenants.get(owner, 0),
             key=cookie(named.get(b"cookie", b""), b"key"),
-            wait=min(1000.0 * number(named.get(b"req-deadline")), self.waits[klass]),
+            wait=max(0.0, min(1000.0 * number(named.get(b"req-deadline")), self.waits[klass]) - waited),
             work=number(named[b"req-cost"]) / 1000.0 if b"req-cost" in named else 0.0,  # from µs
             retry=named.get(b"req-retry") == b"1",
             payload=Payload(request_head(method, target, headers, body), body),
@@ -377,16 +382,16 @@
         if whole.method == "GET" and whole.target == HEALTH:
             self.answer(Answer(200 if self.front.ledger.ready else 500))
             return
-        told = self.front.read(whole.method, whole.target, whole.headers, whole.body)
         waited = 1000.0 * (self.front.loop.time() - whole.at)
+        told = self.front.read(whole.method, whole.target, whole.headers, whole.body, waited)
         self.request_id = told.id
-        self.front.ledger.take(told._replace(wait=max(0.0, told.wait - waited)), self.finish)
+        self.front.ledger.take(told, self.finish)
 
     def finish(self, final: Final) -> None:
         """The ledger's final answer."""
         if isinstance(final, Served):
             reply = final.reply
-            self.answer(Answer(200, end_to_end(reply.headers, b"srv-load"), reply.body))
+            self.answer(Answer(200, end_to_end(reply.headers, TO_CLIENTS), reply.body))
         elif isinstance(final, Refused):
             after = final.retry_after / 1000.0
             self.answer(Answer(503, b"Retry-After: %.3f\r\n" % after if after > 0.0 else b""))
@@ -495,5 +500,5 @@
 def request_head(method: str, target: str, headers: Headers, body: bytes) -> bytes:
     """The head that goes to every endpoint, but for its last header. A whole body needs no chunks."""
     length = b"" if not body and method == "GET" else b"Content-Length: %d\r\n" % len(body)
-    passed = end_to_end(headers, b"req-deadline")
+    passed = end_to_end(headers, TO_ENDPOINTS)
     return b"%b %b HTTP/1.1\r\n%b%b" % (method.encode(), target.encode("latin-1"), passed, length)
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -597,10 +597,15 @@
         shares = [e.size for e in pool]
         first = self.keeper(now, r, pool[0].near)
         gain = WARM_GAIN if first else 1.0
-        first = first or self.rng.choices(pool, shares)[0]
+        first = first or self.weighted(pool, shares)
         if first in pool:
             shares[pool.index(first)] = 0.0
-        return first, self.rng.choices(pool, shares)[0] if any(shares) else first, gain
+        return first, self.weighted(pool, shares) if any(shares) else first, gain
+
+    def weighted(self, pool: list[Endpoint], shares: list[float]) -> Endpoint:
+        """As ``random.choices`` draws one, without its calls in Python."""
+        sums = list(itertools.accumulate(shares))
+        return pool[bisect.bisect(sums, self.rng.random() * sums[-1], 0, len(pool) - 1)]
 
     def draw_two(self, now: float, r: Request, side: Side) -> tuple[Endpoint, Endpoint, float] | None:
         """Two of a side at a cost that doesn't grow with it: by draws, or by a look at LOOK or ``enough`` of it."""
