Don't take a subset that moves for an answer of discovery

Cause: reading the change over: a move for load or an endpoint that can't be reached was told as changes, on which the module stops asking a discovery that had refused, and its list would go stale. It is told as a remembered list now; a test refuses a call, moves the subset, and waits for the next one. Shared pools count what they are dialling.

--- a/standins/many.py
+++ b/standins/many.py
@@ -254,6 +254,8 @@
             return
         self.view.home = self.layout()
         news = self.view.changes(self.world.now)
+        if kind == "remembered":
+            news = [*self.view.members.values()]
         self.share_out()
         self.feed(i.MembershipNews(kind, news, len(self.layout())))
 
@@ -264,7 +266,7 @@
 
     def move(self) -> None:
         if self.view is not None:
-            self.hear("changes")
+            self.hear("remembered")
 
     def watch(self, wait: float) -> None:
         self.call_number += 1
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -363,6 +363,34 @@
 # --- a subset in service ---
 
 
+def test_a_subset_that_moves_is_no_answer_of_discovery() -> None:
+    """Discovery has refused; then an endpoint can't be reached, and the subset moves for it: the module is told, and
+    goes on asking."""
+    told: list[i.MembershipNews] = []
+
+    def react(event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.MembershipNews):
+            told.append(event)
+        if isinstance(event, i.RequestArrived):
+            return [i.Send(event.request, told[-1].entries[0].endpoint, 0.0)]
+        return [i.Refuse(event.request)] if isinstance(event, i.AttemptEnded) else []
+
+    async def test() -> None:
+        hosts = [host(f"e{n}", "127.0.0.1:1") for n in range(60)]
+        async with sidecar(react, {"seq": 1, "whole": True, "hosts": hosts}, shares=i.Shares(subset=6), group_size=400,
+                           ) as s:
+            real = Sidecar(settings(discovery="on_request", shares=i.Shares(subset=6), group_size=400))
+            real.feed(i.MembershipNews("refused"))
+            assert (await (await s.client()).ask()).status == 503
+            assert len(told) == 2 and len(told[1].entries) == 7 and told[1].of == 60
+            real.feed(told[1])
+            before = len(real.of(i.WatchMembership))
+            real.wait(10_000.0)
+            assert len(real.of(i.WatchMembership)) > before
+
+    run(test)
+
+
 def test_subset_in_service(tmp_path: Path) -> None:
     """The program with an operator file: 24 endpoints, two instances that know three of the home zone and four of
     the other one, a day of faults in which a member drains, goes, and the configuration is read again. No rule
--- a/zinclever/core/ledger.py
+++ b/zinclever/core/ledger.py
@@ -169,8 +169,9 @@
         self.connections.configure(settings.shares, settings.group_size, len(view), len(view.subset.members))
 
     def move(self, view: View) -> None:
-        """The subset is to change for other reasons than news of the list."""
-        self.tell("changes", view.changes(self.clock()))
+        """The subset is to change for other reasons than news of the list: the module must not take it for an answer
+        of discovery, or it would give up asking a discovery that is refusing."""
+        self.tell("remembered", view.moved(self.clock()))
         self.share_out(view)
 
     def tell(self, kind: i.ListKind, entries: Sequence[Entry]) -> None:
--- a/zinclever/core/shared.py
+++ b/zinclever/core/shared.py
@@ -164,7 +164,8 @@
         """Dial one more; or how an attempt ends that can't go out without."""
         if len(pool.connections) >= MOST_CONNECTIONS:
             return "connect_failed"
-        if not self.connections.may_open(1000.0 * self.loop.time(), len(pool.connections), len(self.homes)):
+        in_all = len(self.homes) + len(self.dials)
+        if not self.connections.may_open(1000.0 * self.loop.time(), len(pool.connections), in_all):
             return "barred"
         if self.descriptors.full() and not self.descriptors.evict():
             return "connect_failed"
--- a/zinclever/core/view.py
+++ b/zinclever/core/view.py
@@ -49,14 +49,14 @@
                 self.addresses[x.endpoint] = address
             else:
                 self.addresses.pop(x.endpoint, None)
-        changes = self.changes(now)
         if kind == "changes":
-            return changes
-        return [self.entry(x) for x in self.subset.members.values()]
+            return [self.entry(x) for x in self.subset.changes(now)]
+        return self.moved(now)
 
-    def changes(self, now: float) -> list[Entry]:
-        """What has come of load and failures since."""
-        return [self.entry(x) for x in self.subset.changes(now)]
+    def moved(self, now: float) -> list[Entry]:
+        """The whole subset, with what has come of load and failures since."""
+        self.subset.changes(now)
+        return [self.entry(x) for x in self.subset.members.values()]
 
     def entry(self, x: i.Listed) -> Entry:
         return x, self.addresses.get(x.endpoint, NOWHERE)
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -1092,7 +1092,7 @@
             return
         if news.kind != "remembered":
             self.refusals, self.ask_at = 0, NEVER
-        elif news.entries and self.ask_at < now and self.calls.span:
+        elif news.entries and self.ask_at == -NEVER and self.calls.span:
             # Guards discovery against all that start at once: each begins with the list that it remembers.
             self.ask_at = now + self.calls.start()
         if news.kind == "changes" and len(news.entries) < CHANGED_FEW * len(self.endpoints):
