Answer operators on an address of their own; take over the listening socket under load

admin/: GET /status is yes once this process accepts and knows a list; GET /status/metrics gives the figures in statsd's lines. What is counted sits in the core (counts.py) and on the wire (dispatches: last byte handed over).

handover/: with LB_INHERITED_FD both processes accept from the platform's socket. Each holds a lock on a file in TMPDIR, so that both know how many are alive and divide the descriptors; a newcomer waits until it has been seen. After SIGTERM the old one leaves all that is new to the other at once. The way not taken: passing the state and the socket over a Unix socket between the two; the platform names no listeners but its own, and a lock needs no goodbye.

--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,144 @@
+"""The operators' address: what is counted, and calls that are no proper ones."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Iterable
+
+import pytest
+from loopback import Client, closed_port, known, read_message, response, run, serving, sidecar
+from test_sidecar import send_to
+
+from zinclever import interface as i
+from zinclever.admin import server
+from zinclever.admin.figures import Levels, avoided, text
+from zinclever.admin.server import Admin, Page
+from zinclever.core.counts import Counts
+from zinclever.policy import Balancer
+
+LINE = re.compile(r"lb(\.[A-Za-z0-9_-]+)+:[0-9]+\|[cg]")
+
+
+async def admin() -> tuple[Admin, tuple[str, int]]:
+    made = Admin({"/status": lambda: Page(200), "/status/metrics": lambda: Page(200, b"lb.x:1|c\n")})
+    await made.listen(("127.0.0.1", 0))
+    assert made.server is not None
+    return made, made.server.sockets[0].getsockname()
+
+
+def test_every_class_has_its_lines_from_the_start() -> None:
+    """Guards against a figure that is missing until its first request, and against names that the format would read
+    otherwise."""
+    counts = Counts()
+    counts.of("read").served += 812
+    told = text(counts, {"read": 0, "a.b|c:d": 1}, Levels(7, 14, 3, 1)).decode().splitlines()
+    assert "lb.replies.read.success:812|c" in told and "lb.replies.read.overload:0|c" in told
+    assert "lb.replies.a_b_c_d.error:0|c" in told
+    assert told[-4:] == ["lb.dispatches:7|c", "lb.concurrent:14|g", "lb.targets:3|g", "lb.targets_disabled:1|g"]
+    assert all(LINE.fullmatch(line) for line in told)
+
+
+def test_what_is_avoided() -> None:
+    """Draining endpoints, and those taken to be down for as long as they are."""
+    balancer = Balancer(i.Settings(classes=[i.RequestClass(aim=100.0, deadline=500.0)]), 1)
+    balancer.handle(0.0, i.MembershipNews("whole", [i.Listed("a"), i.Listed("b", "draining"), i.Listed("c")]))
+    assert avoided(balancer, 1.0) == 1
+    balancer.endpoints["a"].down_until = 50.0
+    assert avoided(balancer, 49.0) == 2
+    assert avoided(balancer, 51.0) == 1
+
+
+def test_outcomes_are_counted_once() -> None:
+    """Served, refused, failed; an attempt counts once its last byte is written; what is open is no count."""
+
+    def react(event: i.Event) -> Iterable[i.Action]:
+        if isinstance(event, i.RequestArrived):
+            if event.request == "r2":
+                yield i.Refuse("r2")
+            elif event.request != "r4":
+                yield i.Send(event.request, "e" if event.request == "r1" else "gone", event.deadline)
+        elif isinstance(event, i.AttemptEnded) and event.outcome == "connect_failed":
+            yield i.Fail(event.request)
+
+    async def test() -> None:
+        async def page(message: object, peer: object) -> bytes:
+            return response(200, b"page")
+
+        async with serving(page) as (_, at), sidecar(react, known(e=at, gone=closed_port())) as s:
+            c = await s.client()
+            for n, status in ((1, 200), (2, 503), (3, 502)):
+                assert (await c.ask(Req_Id=f"r{n}")).status == status
+            counts = s.sidecar.counts
+            replies = counts.of("read")
+            assert (replies.served, replies.refused, replies.failed, s.wire.dispatches) == (1, 1, 1, 1)
+            assert counts.concurrent == 0
+            c.send(Req_Id="r4")
+            await s.balancer.until(lambda: any(getattr(e, "request", "") == "r4" for _, e in s.balancer.told))
+            assert counts.concurrent == 1
+            c.writer.transport.abort()
+            await s.balancer.until(lambda: any(isinstance(e, i.RequestClosed) for _, e in s.balancer.told))
+            assert counts.concurrent == 0
+            assert (replies.served, replies.refused, replies.failed) == (1, 1, 1)
+
+    run(test)
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+    (b"GET /status?x=1 HTTP/1.1\r\nHost: x\r\n\r\n", 200),
+    (b"GET /status/metrics HTTP/1.1\r\nHost: x\r\n\r\nand more that nobody asked for", 200),
+    (b"GET /elsewhere HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+    (b"POST /status HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405),
+    (b"what is this\r\n\r\n", 400),
+    (b"GET /status HTTP/1.1\r\nX: " + b"x" * 9000, 431),
+])
+def test_one_call_one_answer_one_end(data: bytes, status: int) -> None:
+    async def test() -> None:
+        made, address = await admin()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(data)
+        got = await read_message(reader)
+        assert got is not None and got.status == status and got.headers["connection"] == "close"
+        assert await reader.read() == b""
+        writer.close()
+        made.close()
+
+    run(test)
+
+
+def test_silent_callers_keep_nobody_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against callers that send nothing, or half a call, and stay: they are few, and they end."""
+    monkeypatch.setattr(server, "READ_FOR", 0.2)
+
+    async def test() -> None:
+        made, address = await admin()
+        silent = [await asyncio.open_connection(*address) for _ in range(3 * server.MOST_CALLERS)]
+        for _, writer in silent[::2]:
+            writer.write(b"GET /sta")
+        client = Client(*await asyncio.open_connection(*address))
+        assert (await client.ask("/status")).status == 200
+        assert len(made.callers) <= server.MOST_CALLERS
+        for reader, _ in silent:
+            try:
+                assert await reader.read() == b""
+            except ConnectionError:
+                continue
+        while made.callers:
+            await asyncio.sleep(0)
+        made.close()
+
+    run(test)
+
+
+def test_a_send_that_never_was_is_no_dispatch() -> None:
+    """Guards against counting what a closed port never took."""
+
+    async def test() -> None:
+        async with sidecar(send_to("gone"), known(gone=closed_port())) as s:
+            c = await s.client()
+            c.send()
+            await s.balancer.until(lambda: bool(s.balancer.ends()))
+            assert s.wire.dispatches == 0
+
+    run(test)
--- a/zinclever/__main__.py
+++ b/zinclever/__main__.py
@@ -3,24 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
+import socket
 import sys
+import tempfile
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import uvloop
 
+from .admin.server import Admin
 from .assembly import Assembly
 from .configuration.load import ConfigError, read
 from .configuration.platform import Config
-from .core.service import drain
+from .core.service import Service, drain
+from .handover.listener import inherited
+from .handover.presence import LOOK, NOTICED, Overlap, Presence
 
 if TYPE_CHECKING:
     from .configuration.operator import Operator
 
 log = logging.getLogger("zinclever")
 
+LEARN_FOR = 4.0  # s for which a newcomer without a list leaves clients to the process that is there
+
 
 def reload(assembly: Assembly) -> None:
     """What a SIGHUP does: the files are read again, and what differs from before is put into service.
@@ -45,10 +54,63 @@
         loop.add_signal_handler(number, stopped.set)
     assembly = Assembly(config, operator)
     loop.add_signal_handler(signal.SIGHUP, reload, assembly)
+    admin = await answer_operators(assembly)
+    overlap = take_over(assembly)
+    for service in assembly.services():
+        service.start()
+    if overlap is not None and overlap.others:
+        await let_make_room(assembly)
     for service in assembly.services():
-        await service.listen()
+        await service.listen(listener(assembly, service))
     await stopped.wait()
-    await drain(assembly.services())
+    await drain(assembly.services(), overlap is not None and overlap.others > 0)
+    if overlap is not None:
+        overlap.end()
+    if admin is not None:
+        admin.close()
+
+
+async def answer_operators(assembly: Assembly) -> Admin | None:
+    """Begin to answer on the operators' address, if there is one. OSError where it can't be had."""
+    platform = assembly.platform
+    if platform is None or platform.config.admin is None:
+        return None
+    admin = Admin(platform.pages())
+    await admin.listen(platform.config.admin)
+    return admin
+
+
+def take_over(assembly: Assembly) -> Overlap | None:
+    """Look out for other processes of this sidecar, where the platform lets one take over from another."""
+    platform = assembly.platform
+    if platform is None or platform.config.inherited is None:
+        return None
+    overlap = Overlap(Presence(Path(tempfile.gettempdir()), platform.config.listen), platform.share_with)
+    try:
+        overlap.begin()
+    except OSError as wrong:
+        log.error("other processes of this sidecar are not seen: %s", wrong)
+        return None
+    return overlap
+
+
+async def let_make_room(assembly: Assembly) -> None:
+    """Another process serves: let it give up its part of the descriptors, and learn of the endpoints meanwhile."""
+    platform = assembly.platform
+    assert platform is not None
+    await asyncio.sleep(NOTICED)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(LEARN_FOR):
+            while not platform.ledger.ready:
+                await asyncio.sleep(LOOK)
+
+
+def listener(assembly: Assembly, service: Service) -> socket.socket | None:
+    """The socket that a service finds listening, if any. OSError where it is none."""
+    platform = assembly.platform
+    if platform is None or service is not platform.service or platform.config.inherited is None:
+        return None
+    return inherited(platform.config.inherited)
 
 
 def main() -> int:
--- a/zinclever/assembly.py
+++ b/zinclever/assembly.py
@@ -7,6 +7,8 @@
 from random import SystemRandom
 from typing import TYPE_CHECKING
 
+from .admin.figures import Levels, avoided, text
+from .admin.server import Page, Pages
 from .configuration.platform import Config
 from .core.descriptors import Descriptors
 from .core.ledger import EARLY, Ledger
@@ -40,6 +42,8 @@
         assert isinstance(self.ledger.source, Discovery)
         self.discovery = self.ledger.source
         self.front = Front(self.ledger)
+        self.processes = 1
+        """Of this sidecar, that share what it may hold: more than one while one takes over from another."""
         self.service = Service(PLATFORM, config.listen, self.ledger, self.front)
 
     def adopt(self, config: Config) -> None:
@@ -49,7 +53,7 @@
             log.warning("configuration: listen takes effect at the next start only")
         kept = (before.settings, before.zones, before.sockets)
         if (config.settings, config.zones, config.sockets) != kept:
-            self.descriptors.configure(config.sockets)
+            self.divide()
             self.discovery.configure(config.settings, config.zones)
             self.ledger.adopt(Balancer(config.settings, config.seed))
             self.front.configure()
@@ -57,6 +61,32 @@
             self.discovery.move(config.discovery)
 
 
+    def share_with(self, others: int) -> None:
+        """So many other processes of this sidecar are alive: descriptors are divided evenly among all."""
+        self.processes = 1 + others
+        self.divide()
+        while self.descriptors.full() and self.descriptors.evict():
+            pass
+
+    def divide(self) -> None:
+        self.descriptors.configure(self.config.sockets // self.processes)
+        self.front.configure()
+
+    def levels(self) -> Levels:
+        """What operators are told of this moment."""
+        ledger, wire = self.ledger, self.ledger.wire
+        assert isinstance(wire, HttpWire)
+        return Levels(wire.dispatches, ledger.counts.concurrent, len(self.discovery.hosts),
+                      avoided(ledger.balancer, ledger.clock()))
+
+    def pages(self) -> Pages:
+        """Where operators call."""
+        return {
+            "/status": lambda: Page(200 if self.service.takes() else 503),
+            "/status/metrics": lambda: Page(200, text(self.ledger.counts, self.front.classes, self.levels())),
+        }
+
+
 class JsonRpc:
     """A JSON-RPC service, as the operator file words it."""
 
--- a/zinclever/configuration/model.py
+++ b/zinclever/configuration/model.py
@@ -235,6 +235,7 @@
 PLATFORM = (
     Key("listen", "address", "Where the application connects; LB_LISTEN comes first.", required=True),
     Key("discovery", "address", "Discovery; LB_DISCOVERY comes first at the start.", required=True),
+    Key("admin_addr", "address", "Where operators call; LB_ADMIN_ADDR comes first."),
     Key("seed", "text", "For random numbers, hexadecimal.", default="0"),
     Key("limits", "table", "What the process may use.", default={}, open=True, inner=(
         Key("sockets", "whole", "Descriptors it may hold.", default=1024, least=41, most=2**20),
--- a/zinclever/configuration/platform.py
+++ b/zinclever/configuration/platform.py
@@ -10,12 +10,18 @@
 from ..interface import Settings
 from ..settings import read_settings
 
+INHERITED = "LB_INHERITED_FD"
+
 
 @dataclass(frozen=True, slots=True)
 class Config:
     """What the program is told at its start."""
 
     listen: Address
+    admin: Address | None
+    """Where operators call, if anywhere."""
+    inherited: int | None
+    """The descriptor of a socket that listens already, kept by the platform."""
     discovery: Address
     seed: int
     sockets: int
@@ -24,13 +30,25 @@
     zones: list[str]
 
 
+def descriptor(text: str | None) -> int | None:
+    """The number of a descriptor that was handed over. ValueError where it is none."""
+    if not text:
+        return None
+    if not text.isdecimal():
+        raise ValueError(f"{INHERITED}: not the number of a descriptor: {text!r}")
+    return int(text)
+
+
 def build(values: dict[str, Any], clean: dict[str, Any], env: Mapping[str, str]) -> Config:
     """From values whose check found no error; addresses in the environment come first.
 
     ValueError for what is wrong in the environment, or in what only the settings themselves can tell.
     """
+    admin = env.get("LB_ADMIN_ADDR") or clean["admin_addr"]
     return Config(
         listen=read_address(env.get("LB_LISTEN") or clean["listen"]),
+        admin=read_address(admin) if admin else None,
+        inherited=descriptor(env.get(INHERITED)),
         discovery=read_address(env.get("LB_DISCOVERY") or clean["discovery"]),
         seed=int(clean["seed"], 16),
         sockets=clean["limits"]["sockets"],
--- a/zinclever/core/ledger.py
+++ b/zinclever/core/ledger.py
@@ -15,6 +15,7 @@
 from .. import interface as i
 from ..fleet.limits import Connections
 from ..policy import Balancer
+from .counts import Counts
 from .descriptors import Descriptors
 from .protocol import Ended, Entry, Exchange, Failed, Final, Incoming, OnList, Refused, Served, Source, Wire
 from .view import View
@@ -77,6 +78,7 @@
         self.view = self.make_view()
         self.configure_wire()
         self.requests: dict[str, Request] = {}
+        self.counts = Counts()
         self.events: deque[tuple[Balancer, i.Event]] = deque()
         self.acting = balancer  # whose actions are carried out
         self.settled: list[Request] = []  # looked at after each event: they may be through
@@ -207,6 +209,7 @@
         now = self.clock()
         request = Request(told, now + told.wait, self.balancer, answer)
         self.requests[told.id] = request
+        self.counts.concurrent += 1
         request.guard = self.loop.call_later(max(0.0, told.wait - GUARD) / 1000.0, self.give_up, request)
         if self.view is not None and self.view.subset.load(now, len(self.requests)):
             self.move(self.view)
@@ -251,14 +254,25 @@
         if request is not None and request.answer is not None:
             answer = request.answer
             self.close(request)
+            self.count(request, final)
             try:
                 answer(final)
             except Exception:
                 # Guards the events that follow: an attempt whose end is not told counts in flight for ever.
                 log.exception("answer not written")
 
+    def count(self, request: Request, final: Final) -> None:
+        replies = self.counts.of(request.balancer.settings.classes[request.told.klass].name)
+        if isinstance(final, Served):
+            replies.served += 1
+        elif isinstance(final, Refused):
+            replies.refused += 1
+        else:
+            replies.failed += 1
+
     def close(self, request: Request) -> None:
         request.answer = None
+        self.counts.concurrent -= 1
         if request.guard is not None:
             request.guard.cancel()
         for attempt in request.attempts:
--- a/zinclever/core/service.py
+++ b/zinclever/core/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -50,12 +51,23 @@
     """s for which what is held may go on at the end."""
     server: asyncio.Server | None = field(default=None, init=False)
 
-    async def listen(self) -> None:
-        """Begin to take requests. OSError where the address can't be had."""
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(self.front.connection, *self.address, backlog=BACKLOG)
+    def start(self) -> None:
+        """Learn of the endpoints; requests come once it listens."""
         self.ledger.start()
 
+    async def listen(self, inherited: socket.socket | None = None) -> None:
+        """Begin to take requests, from a socket that listens already where one is given. OSError where the address
+        can't be had."""
+        loop = asyncio.get_running_loop()
+        if inherited is not None:
+            self.server = await loop.create_server(self.front.connection, sock=inherited, backlog=BACKLOG)
+        else:
+            self.server = await loop.create_server(self.front.connection, *self.address, backlog=BACKLOG)
+
+    def takes(self) -> bool:
+        """Whether a request that comes now is served, as far as is known."""
+        return self.server is not None and self.ledger.ready
+
     def close(self) -> None:
         if self.server is not None:
             self.server.close()
@@ -67,13 +79,16 @@
         act(service)
 
 
-async def drain(services: Sequence[Service]) -> None:
+async def drain(services: Sequence[Service], succeeded: bool = False) -> None:
     """Go on answering while clients still come, then end with the last answer.
 
     Clients learn late of a planned restart: whoever connects in the meantime has to be served, and kept
-    connections end with their next answer.
+    connections end with their next answer. With ``succeeded`` another process accepts from the same sockets
+    already: all that is new is left to it from now on.
     """
     each(services, lambda s: s.front.begin_drain())
+    if succeeded:
+        each(services, Service.close)
     await asyncio.sleep(KEEP_FOR)
     each(services, lambda s: s.front.close_idle())
     await asyncio.sleep(RESEND_FOR)
--- a/zinclever/http1/connection.py
+++ b/zinclever/http1/connection.py
@@ -51,6 +51,8 @@
 
 
 Done = Callable[[Reply | Broken], None]
+#: Told once the kernel has a request's last byte.
+Sent = Callable[[], None]
 
 
 def end_to_end(headers: Headers, left_out: frozenset[bytes]) -> bytes:
@@ -80,6 +82,7 @@
         self.sock, self.on_free, self.on_lost, self.most_body = sock, on_free, on_lost, most_body
         self.parser = httptools.HttpResponseParser(self)
         self.done: Done | None = None
+        self.sent: Sent | None = None
         self.stall: asyncio.TimerHandle | None = None
         self.held: tuple[bytes, asyncio.TimerHandle] | None = None
         """The request's last byte, until it goes out."""
@@ -105,12 +108,12 @@
             return False
         return False
 
-    def request(self, data: bytes, done: Done, hold: float = 0.0) -> None:
+    def request(self, data: bytes, done: Done, hold: float = 0.0, sent: Sent | None = None) -> None:
         """Write one request; ``done`` is called once, unless the exchange is aborted before.
 
         With ``hold`` its last byte follows so many seconds later, if the connection is still sound then.
         """
-        self.done = done
+        self.done, self.sent = done, sent
         self.received = 0  # raw bytes: guards against a head without end, which the parser holds back
         self.begun = self.complete = self.keep = False
         self.unsent = True
@@ -147,6 +150,9 @@
     def resume_writing(self) -> None:
         """The kernel has all that was handed to the transport."""
         self.unsent = self.held is not None or self.transport.get_write_buffer_size() > 0
+        if not self.unsent and self.sent is not None:
+            sent, self.sent = self.sent, None
+            sent()
 
     def abort(self) -> None:
         """End the connection now and tell nobody of the exchange on it.
--- a/zinclever/http1/wire.py
+++ b/zinclever/http1/wire.py
@@ -10,7 +10,7 @@
 from ..core.descriptors import Descriptors
 from ..core.pools import ExclusivePools
 from ..core.protocol import Ended
-from .connection import Broken, ClientConnection, Reply, dial
+from .connection import Broken, ClientConnection, Reply, Sent, dial
 
 HOLD = 0.002  # s, over a round trip: for how long the last byte of what may not be repeated is held back
 MOST_LOAD = 1e6  # in a load report: no endpoint holds or serves more, and no figure is below 0
@@ -36,10 +36,10 @@
 class Exchange:
     """One attempt on the wire: waiting for its connection, then for its answer."""
 
-    __slots__ = ("connection", "data", "ended", "hold")
+    __slots__ = ("connection", "data", "ended", "hold", "sent")
 
-    def __init__(self, data: bytes, ended: Ended, hold: float) -> None:
-        self.data, self.hold = data, hold
+    def __init__(self, data: bytes, ended: Ended, hold: float, sent: Sent) -> None:
+        self.data, self.hold, self.sent = data, hold, sent
         self.ended: Ended | None = ended
         self.connection: ClientConnection | None = None
 
@@ -54,7 +54,7 @@
 
     def run(self, connection: ClientConnection) -> None:
         self.connection = connection
-        connection.request(self.data, self.done, self.hold)
+        connection.request(self.data, self.done, self.hold, self.sent)
 
     def done(self, result: Reply | Broken) -> None:
         if isinstance(result, Reply):
@@ -79,12 +79,17 @@
 
     def __init__(self, descriptors: Descriptors) -> None:
         super().__init__(dial, descriptors)
+        self.dispatches = 0
+        """Attempts whose last byte the kernel has had."""
+
+    def dispatched(self) -> None:
+        self.dispatches += 1
 
     def start(self, endpoint: str, payload: Payload, left: float, ended: Ended, unsafe: bool) -> Exchange:
         """Begin an attempt that is waited for ``left`` seconds. The last byte of an unsafe one is held back:
         most connections that break do so before."""
         data = b"%bReq-Deadline: %.3f\r\n\r\n%b" % (payload.head, left, payload.body)
-        exchange = Exchange(data, ended, HOLD if unsafe else 0.0)
+        exchange = Exchange(data, ended, HOLD if unsafe else 0.0, self.dispatched)
         self.carry(endpoint, exchange)
         return exchange
 
