Let large bodies go out as they come, and free them with their answers

- A body over 64 KiB goes to an endpoint as it comes and is kept for another attempt; its last byte waits until the client's is there, so that a break before never ran.
The module places it at once and counts it from UploadEnded on: nothing of it is in flight, overdue or silent before.
For other requests the decisions are as they were.
- An answer of untold length is passed on 30 ms after its first bytes.
- The build doesn't compile again what is compiled of the same text.

Request and attempt refer to one another, so that bodies waited for the collector of cycles; the ledger now breaks the cycle.

--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 
@@ -13,6 +14,7 @@
 from test_sidecar import send_to
 
 from zinclever import interface as i
+from zinclever.core import ledger
 from zinclever.http1 import bodies, connection, front
 from zinclever.http1.bodies import Room, room_for
 
@@ -476,3 +478,217 @@
     assert room_for(None) == bodies.ROOM_UNTOLD
     assert room_for(32 << 20) == bodies.LEAST_ROOM
     assert room_for(80 << 20) == int(0.4 * (50 << 20))
+
+
+# --- bodies that go out as they come ---
+
+
+class Got:
+    """What a server has read of its requests."""
+
+    def __init__(self) -> None:
+        self.read = 0
+        self.whole: list[bytes] = []
+        self.changed = asyncio.Event()
+
+    async def until(self, met: Callable[[], bool]) -> None:
+        while not met():
+            self.changed.clear()
+            await self.changed.wait()
+
+
+def reading(got: Got, answer: bytes = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", breaks_at: int = -1) -> Serve:
+    """A server that counts what it reads, and breaks its first connection after so many bytes."""
+    connections = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal connections
+        connections += 1
+        breaks = breaks_at >= 0 and connections == 1
+        while True:
+            head = (await request(reader)).lower()
+            parts: list[bytes] = []
+
+            async def piece(n: int, parts: list[bytes] = parts) -> None:
+                data = await reader.read(n)
+                if not data:
+                    raise ConnectionError
+                parts.append(data)
+                got.read += len(data)
+                got.changed.set()
+
+            if b"chunked" in head:
+                while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+                    end = sum(map(len, parts)) + size
+                    while sum(map(len, parts)) < end:
+                        await piece(end - sum(map(len, parts)))
+                    await reader.readexactly(2)
+                await reader.readexactly(2)
+            else:
+                size = int(head.split(b"content-length:")[1].split()[0])
+                while (left := size - sum(map(len, parts))) > 0:
+                    if breaks and size - left > breaks_at:
+                        writer.transport.abort()
+                        return
+                    await piece(left)
+            got.whole.append(b"".join(parts))
+            got.changed.set()
+            writer.write(answer)
+
+    return serve
+
+
+def head_of(method: str, length: int | None, request_id: str = "r1") -> bytes:
+    coding = "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
+    return (f"POST {method} HTTP/1.1\r\nHost: x\r\nReq-Id: {request_id}\r\nReq-Deadline: 9\r\n"
+            f"{coding}\r\n\r\n").encode()
+
+
+@pytest.mark.parametrize("method", ["/read", "/tip"])
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_large_body_goes_out_as_it_comes(method: str, chunked: bool) -> None:
+    """The endpoint reads while the client still sends, and has a whole request only once the client has sent one; the
+    request's time begins then."""
+
+    async def test() -> None:
+        got = Got()
+        async with endpoint(reading(got)) as at, sidecar(send_to("e"), known(e=at)) as s:
+            c = await s.client()
+            c.writer.write(head_of(method, None if chunked else LARGE))
+            if chunked:
+                c.writer.write(b"%x\r\n%b\r\n" % (LARGE - 1, PAGE[: LARGE - 1]))
+            else:
+                c.writer.write(PAGE[: LARGE - 1])
+            await got.until(lambda: got.read >= LARGE - 2)
+            assert not got.whole and s.wire.dispatches == 0 and s.sidecar.counts.concurrent == 0
+            assert s.sidecar.requests["r1"].guard is None
+            assert not any(isinstance(e, i.UploadEnded) for _, e in s.balancer.told)
+            c.writer.write(b"1\r\n%b\r\n0\r\n\r\n" % PAGE[LARGE - 1 : LARGE] if chunked else PAGE[LARGE - 1 : LARGE])
+            assert (await c.answer()).status == 200
+            assert got.whole == [PAGE[:LARGE]] and s.wire.dispatches == 1 and s.front.room.taken == 0
+            c.send(method, method="POST", Req_Id="r2", body=b"x")
+            assert (await c.answer()).status == 200  # both connections are kept
+            end, = s.balancer.ends()[:1]
+            ended_at = next(now for now, e in s.balancer.told if isinstance(e, i.UploadEnded))
+            answered_at = next(now for now, e in s.balancer.told if e is end)
+            assert end.elapsed <= answered_at - ended_at + 1.0
+
+    run(test)
+
+
+@pytest.mark.parametrize("method", ["/read", "/tip", "/unlock"])
+def test_what_breaks_before_the_last_byte_goes_again(method: str) -> None:
+    """Half of a body has gone out: it can't have run, and the whole one is kept for another attempt."""
+
+    def react(event: i.Event) -> Iterable[i.Action]:
+        if isinstance(event, i.RequestArrived) or (isinstance(event, i.AttemptEnded) and not event.complete):
+            yield i.Send(event.request, "e", 1e18)
+
+    async def test() -> None:
+        got = Got()
+        async with endpoint(reading(got, breaks_at=LARGE // 3)) as at, sidecar(react, known(e=at)) as s:
+            c = await s.client()
+            c.writer.write(head_of(method, LARGE).replace(b"Host", b"Idempotency-Key: k\r\nHost"))
+            c.writer.write(PAGE[: LARGE // 2])
+            await s.balancer.until(lambda: bool(s.balancer.ends()))
+            assert s.balancer.ends()[0].outcome == "dropped"
+            c.writer.write(PAGE[LARGE // 2 : LARGE])
+            assert (await c.answer()).status == 200
+            assert got.whole == [PAGE[:LARGE]] and s.wire.dispatches == 1
+
+    run(test)
+
+
+@pytest.mark.parametrize("end", ["leaves", "stops", "spoils"])
+def test_a_client_that_doesn_t_end_its_body_runs_nothing(end: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an endpoint that takes half a body for a whole one: its connection ends before the last byte."""
+    monkeypatch.setattr(front, "READ_FOR", 0.2)
+    monkeypatch.setattr(front, "SLOWEST", 1 << 30)
+
+    async def test() -> None:
+        got = Got()
+        async with endpoint(reading(got)) as at, sidecar(send_to("e"), known(e=at)) as s:
+            c = await s.client()
+            c.writer.write(head_of("/tip", None) + b"%x\r\n%b\r\n" % (LARGE, PAGE[:LARGE]))
+            await got.until(lambda: got.read >= LARGE - 1)
+            if end == "leaves":
+                c.writer.transport.abort()
+            else:
+                c.writer.write(b"no chunk\r\n" * (end == "spoils"))
+                assert (await c.answer()).status == (400 if end == "spoils" else 408)
+            await s.balancer.until(lambda: bool(s.balancer.ends()))
+            assert s.balancer.ends()[0].outcome == "not_sent" and s.wire.dispatches == 0 and not got.whole
+            while s.front.count() or s.sidecar.requests or s.wire.open:
+                c.writer.transport.abort()
+                await asyncio.sleep(0.01)
+            assert s.front.room.taken == 0 and s.sidecar.counts.concurrent == 0
+
+    run(test)
+
+
+def test_a_refusal_cuts_the_upload_short() -> None:
+    """An answer is not held back until the client has sent what is of no use."""
+
+    async def test() -> None:
+        async with sidecar(lambda e: [i.Refuse(e.request, 700.0)] if isinstance(e, i.RequestArrived) else [],
+                           known(e="127.0.0.1:9")) as s:
+            c = await s.client()
+            c.writer.write(head_of("/tip", LARGE) + PAGE[:100_000])
+            got = await c.answer()
+            assert got.status == 503 and got.headers["connection"] == "close" and got.headers["retry-after"] == "0.700"
+            assert s.front.room.taken == 0 and s.sidecar.counts.of("tip").refused == 1
+
+    run(test)
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(st.lists(st.binary(min_size=1, max_size=9), min_size=1, max_size=9), st.integers(0, 9), st.integers(0, 9))
+def test_every_taker_gets_each_byte_once_and_the_last_one_last(pieces: list[bytes], joins: int, leaves: int) -> None:
+    class Taker:
+        def __init__(self) -> None:
+            self.got, self.done = b"", False
+
+        def more(self, data: bytes) -> None:
+            assert not self.done
+            self.got += data
+
+        def last(self, data: bytes) -> None:
+            self.got, self.done = self.got + data, True
+            assert len(data) == 1
+
+    body, first, late = bodies.Body(None), Taker(), Taker()
+    body.follow(first)
+    for n, piece in enumerate(pieces):
+        if n == joins:
+            body.follow(late)
+        if n == leaves:
+            body.leave(first)
+        body.add(piece)
+        assert len(first.got) < sum(map(len, pieces[: n + 1]))
+    body.finish()
+    whole = b"".join(pieces)
+    assert body.bytes() == whole == body.bytes()
+    assert first.done is (leaves >= len(pieces)) and (not first.done or first.got == whole)
+    assert late.done is (joins < len(pieces)) and (not late.done or late.got == whole)
+
+
+@pytest.mark.parametrize("size", [100, LARGE])
+def test_what_was_held_for_a_request_goes_with_its_answer(size: int) -> None:
+    """Guards against bodies that wait for the collector of cycles: on a day of large ones they filled the memory."""
+
+    async def test() -> None:
+        async with uploads() as (s, _):
+            c = await s.client()
+            gc.collect()
+            gc.disable()
+            try:
+                for n in range(3):
+                    c.send("/tip", method="POST", Req_Id=f"r{n}", body=PAGE[:size])
+                    assert (await c.answer()).status == 200
+                s.balancer.told.clear()
+                left = [x for x in gc.get_objects() if isinstance(x, bodies.Body | ledger.Request | ledger.Attempt)]
+                assert not left
+            finally:
+                gc.enable()
+
+    run(test)
--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -152,6 +152,7 @@
         raise OSError("no mypyc here")
 
     run: Callable[..., Any] = broken
+    monkeypatch.setattr(compile, "libraries", lambda folder: {})
     monkeypatch.setattr(compile.subprocess, "run", run)  # type: ignore[attr-defined]
     assert compile.main() == 0
     assert "runs as it is written: no mypyc here" in capsys.readouterr().out
--- a/zinclever/compile.py
+++ b/zinclever/compile.py
@@ -12,7 +12,7 @@
 import tempfile
 from pathlib import Path
 
-from .native import FOLDER, MODULES, PACKAGE, STAMP, SUFFIX, checksum, path_of
+from .native import FOLDER, MODULES, PACKAGE, STAMP, SUFFIX, checksum, libraries, path_of
 
 PATIENCE = 420.0  # s: it takes some fifty on one core
 
@@ -55,6 +55,9 @@
 
 
 def main() -> int:
+    if set(MODULES) <= libraries(PACKAGE / FOLDER).keys():
+        print("compiled already, of this very text")
+        return 0
     wrong = compile_to(PACKAGE / FOLDER)
     done = f"{len(MODULES)} modules are compiled"
     print(f"nothing is compiled, and all runs as it is written: {wrong}" if wrong else done)
--- a/zinclever/core/ledger.py
+++ b/zinclever/core/ledger.py
@@ -23,6 +23,7 @@
 log = logging.getLogger(__name__)
 
 EARLY = 15.0  # ms before the client's deadline at which the balancer takes it to pass
+UPLOAD_FOR = 600_000.0  # ms that a body may come in for: its front ends what is too slow long before
 GUARD = 8.0  # ms before the deadline at which a request is answered whatever happens
 NO_REPORT: Mapping[str, float] = MappingProxyType({})
 
@@ -46,11 +47,11 @@
 class Request:
     """Kept until it is answered and each of its attempts has its outcome."""
 
-    __slots__ = ("answer", "attempts", "balancer", "deadline", "guard", "live", "reply", "told")
+    __slots__ = ("answer", "attempts", "balancer", "deadline", "guard", "live", "reply", "told", "uploading")
 
     def __init__(self, told: Incoming, deadline: float, balancer: Balancer,
                  answer: Callable[[Final], None]) -> None:
-        self.told, self.deadline = told, deadline
+        self.told, self.deadline, self.uploading = told, deadline, told.uploading
         self.balancer = balancer
         """That of its arrival: what its settings allowed then holds to its end."""
         self.answer: Callable[[Final], None] | None = answer
@@ -207,18 +208,39 @@
     def take(self, told: Incoming, answer: Callable[[Final], None]) -> None:
         """A request of a client; ``answer`` is called once, unless the client leaves before."""
         now = self.clock()
-        request = Request(told, now + told.wait, self.balancer, answer)
+        request = Request(told, now + (UPLOAD_FOR if told.uploading else told.wait), self.balancer, answer)
         self.requests[told.id] = request
-        self.counts.concurrent += 1
-        request.guard = self.loop.call_later(max(0.0, told.wait - GUARD) / 1000.0, self.give_up, request)
+        if not told.uploading:
+            self.count_taken(request, told.wait)
         if self.view is not None and self.view.subset.load(now, len(self.requests)):
             self.move(self.view)
         self.feed(
             i.RequestArrived(
-                told.id, told.klass, request.deadline - EARLY, told.tenant, told.key, told.work, told.retry
+                told.id, told.klass, request.deadline - EARLY, told.tenant, told.key, told.work, told.retry,
+                told.uploading,
             )
         )
 
+    def count_taken(self, request: Request, wait: float) -> None:
+        """Its client waits from now on."""
+        self.counts.concurrent += 1
+        request.guard = self.loop.call_later(max(0.0, wait - GUARD) / 1000.0, self.give_up, request)
+
+    def uploaded(self, request_id: str) -> None:
+        """The last byte of a request's body has come: its time begins, and that of the attempts that have had the
+        body as it came."""
+        request = self.requests.get(request_id)
+        if request is None or request.answer is None or not request.uploading:
+            return
+        now, wait = self.clock(), request.told.wait
+        request.uploading, request.deadline = False, now + wait
+        self.count_taken(request, wait)
+        for attempt in request.attempts:
+            if attempt.outcome is None:
+                attempt.sent_at = now
+                attempt.timer = self.loop.call_later(max(0.0, wait - EARLY) / 1000.0, self.expire, attempt)
+        self.feed(i.UploadEnded(request_id, request.deadline - EARLY), request.balancer)
+
     def leave(self, request_id: str) -> None:
         """The client has gone away."""
         request = self.requests.get(request_id)
@@ -272,7 +294,8 @@
 
     def close(self, request: Request) -> None:
         request.answer = None
-        self.counts.concurrent -= 1
+        if not request.uploading:
+            self.counts.concurrent -= 1
         if request.guard is not None:
             request.guard.cancel()
         for attempt in request.attempts:
@@ -286,6 +309,7 @@
         comes too late still gets its outcome."""
         if request.answer is None and not request.live:
             self.requests.pop(request.told.id, None)
+            request.attempts.clear()  # they refer back: a body of megabytes would wait for the collector
 
     # --- attempts ---
 
@@ -305,7 +329,10 @@
             self.ended(attempt, "not_sent")
             return
         left = (expires - now) / 1000.0
-        attempt.timer = self.loop.call_later(left, self.expire, attempt)
+        if request.uploading:
+            left = request.told.wait / 1000.0  # from the body's end on: then it has its timer
+        else:
+            attempt.timer = self.loop.call_later(left, self.expire, attempt)
         ended: Ended = partial(self.ended, attempt)
         attempt.exchange = self.wire.start(
             action.endpoint, request.told.payload, left, ended, repeat == "at_most_once"
--- a/zinclever/core/protocol.py
+++ b/zinclever/core/protocol.py
@@ -37,6 +37,8 @@
     retry: bool
     payload: Any
     """What the wire of the same protocol sends; the core doesn't look into it."""
+    uploading: bool = False
+    """The payload is still coming in: :meth:`~zinclever.core.ledger.Ledger.uploaded` tells of its end."""
 
 
 class Served(NamedTuple):
--- a/zinclever/http1/bodies.py
+++ b/zinclever/http1/bodies.py
@@ -1,12 +1,15 @@
-"""How much memory the bodies of requests may take that are held until their requests are answered. No I/O, no clock.
+"""Bodies of requests that are held until their requests are answered, and how much memory they may take. No I/O, no
+clock.
 
-A body is held whole, so that a further attempt can send it again, and nothing goes out of a request that may never be
-whole. Small ones are held as they come; larger ones need room first, and wait for it in turn.
+A body is held whole, so that a further attempt can send it again. Small ones go out once they are whole. Larger ones
+need room first, wait for it in turn, and go out as they come: the time that a slow endpoint takes to read them would
+else be their client's.
 """
 
 from __future__ import annotations
 
 from collections.abc import Hashable
+from typing import Protocol
 
 HELD_FREELY = 64 * 1024  # bytes of a body that need no room: as many as descriptors are little memory
 STEP = 256 * 1024  # bytes of room taken at a time for a body whose length isn't told
@@ -59,3 +62,57 @@
         for who, _ in served:
             del self.waiting[who]
         return served
+
+
+class Taker(Protocol):
+    """Gets a body as it comes, in order: each byte once."""
+
+    def more(self, data: bytes) -> None: ...
+
+    def last(self, data: bytes) -> None:
+        """The last byte; called once, and nothing comes after it."""
+
+
+class Body:
+    """A body that comes in. Its last byte is kept back until it is known to be the last: an endpoint has a whole
+    request only once its client has sent one."""
+
+    __slots__ = ("back", "length", "parts", "takers", "whole")
+
+    def __init__(self, length: int | None) -> None:
+        self.length = length
+        """As its client told it; None: it comes in chunks."""
+        self.parts: list[bytes] = []
+        self.back = b""
+        self.whole = False
+        self.takers: dict[Taker, None] = {}
+
+    def add(self, data: bytes) -> None:
+        """Bytes as they have come, one at least."""
+        sure, self.back = self.back + data[:-1], data[-1:]
+        if sure:
+            self.parts.append(sure)
+            for taker in list(self.takers):
+                taker.more(sure)
+
+    def finish(self) -> None:
+        """It is whole. At least one byte has come."""
+        self.whole = True
+        takers, self.takers = self.takers, {}
+        for taker in takers:
+            taker.last(self.back)
+
+    def follow(self, taker: Taker) -> None:
+        """Begin to get what has come, and what is still to come."""
+        self.takers[taker] = None
+        for part in self.parts:
+            taker.more(part)
+
+    def leave(self, taker: Taker) -> None:
+        self.takers.pop(taker, None)
+
+    def bytes(self) -> bytes:
+        """All of it, once it is whole: put together for the first who asks."""
+        if len(self.parts) > 1 or self.back:
+            self.parts, self.back = [b"".join((*self.parts, self.back))], b""
+        return self.parts[0]
--- a/zinclever/http1/connection.py
+++ b/zinclever/http1/connection.py
@@ -33,6 +33,7 @@
 SMALL_BODY = 16 * 1024  # bytes of a request's body that are copied behind its head, for one call of the kernel
 MOST_BYTES = 8 * MOST_HEAD  # of an answer beyond its body: head, sizes of chunks, 1xx answers ahead
 STALL = 0.5  # s between two pieces of an answer that is held: what stops is spoilt, and another attempt may help
+LINGERS = 0.03  # s after its first bytes from which on an answer of untold length is passed on as it comes
 TRANSFER_STALL = 10.0  # s between two pieces of one that is passed on: its client can't get another
 TRANSFER_BUFFER = 64 * 1024  # bytes that the kernel holds of it: a client that reads slowly slows the server down
 
@@ -128,7 +129,7 @@
         self.rest: Transfer | None = None
         self.body: list[bytes] = []
         self.paused = False
-        self.heard_at = 0.0
+        self.heard_at = self.begun_at = 0.0
         self.parser = httptools.HttpResponseParser(self)
         self.done: Done | None = None
         self.sent: Sent | None = None
@@ -136,6 +137,7 @@
         self.held: tuple[bytes, asyncio.TimerHandle] | None = None
         """The request's last byte, until it goes out."""
         self.unsent = self.lost = False
+        self.uploading = self.chunked = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -162,19 +164,57 @@
 
         With ``hold`` its last byte follows so many seconds later, if the connection is still sound then.
         """
+        self.expect(done, sent)
         small = len(body) <= SMALL_BODY
         data, tail = (head + body, b"") if small else (head, memoryview(body))
+        if hold > 0.0:
+            self.hold_back((data if small else body)[-1:], hold)
+            data, tail = (data[:-1], tail) if small else (data, tail[:-1])
+        if self.write(data) and (small or self.write(tail)):
+            self.resume_writing()
+
+    def expect(self, done: Done, sent: Sent | None) -> None:
+        """An exchange begins."""
         self.done, self.sent = done, sent
         self.received = 0  # raw bytes: guards against a head without end, which the parser holds back
         self.begun = self.complete = self.keep = self.large = self.until_end = False
         self.unsent = True
+
+    def hold_back(self, last: bytes, hold: float) -> None:
+        timer = asyncio.get_running_loop().call_later(hold, self.complete_request)
+        self.held = last, timer
+
+    def begin_upload(self, head: bytes, done: Done, sent: Sent | None, chunked: bool) -> None:
+        """Write a request whose body follows by :meth:`upload`, and ends by :meth:`end_upload`."""
+        self.expect(done, sent)
+        self.uploading, self.chunked = True, chunked
+        self.write(head)
+
+    def upload(self, data: bytes) -> None:
+        """The next bytes of the body: one at least."""
+        if not self.uploading or self.transport.is_closing():
+            return
+        if not self.chunked:
+            self.write(data)
+        elif self.write(b"%x\r\n" % len(data)) and self.write(data):
+            self.write(b"\r\n")
+
+    def end_upload(self, last: bytes, hold: float) -> None:
+        """The last byte of the body; with ``hold`` the request's last byte is held back as in :meth:`request`."""
+        if not self.uploading or self.transport.is_closing():
+            return
+        self.uploading = False
+        data = b"1\r\n%b\r\n0\r\n\r\n" % last if self.chunked else last
         if hold > 0.0:
-            timer = asyncio.get_running_loop().call_later(hold, self.complete_request)
-            self.held = (data if small else body)[-1:], timer
-            data, tail = (data[:-1], tail) if small else (data, tail[:-1])
-        if self.write(data) and (small or self.write(tail)):
+            self.hold_back(data[-1:], hold)
+            data = data[:-1]
+        if not data or self.write(data):
             self.resume_writing()
 
+    def outstanding(self) -> bool:
+        """Whether bytes of the request have not been written yet, so that it can't have run."""
+        return self.uploading or self.held is not None
+
     def write(self, data: bytes | memoryview) -> bool:
         """Hand bytes of the request to the kernel, or to the transport as far as it has no room; False once the
         connection has ended."""
@@ -186,7 +226,7 @@
             self.transport.abort()  # connection_lost tells the owner
             return False
         if written < len(data):
-            self.transport.write(data[written:])
+            self.transport.write(memoryview(data)[written:])  # a body is kept in any case: no second copy of it
         return True
 
     def complete_request(self) -> None:
@@ -203,7 +243,7 @@
 
     def resume_writing(self) -> None:
         """The kernel has all that was handed to the transport."""
-        self.unsent = self.held is not None or self.transport.get_write_buffer_size() > 0
+        self.unsent = self.outstanding() or self.transport.get_write_buffer_size() > 0
         if not self.unsent and self.sent is not None:
             sent, self.sent = self.sent, None
             sent()
@@ -217,6 +257,7 @@
         self.done = None
         self.stop_timers()
         self.rest = None
+        self.uploading = False
         if not self.lost:
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
@@ -239,7 +280,7 @@
             return
         if self.rest is not None:
             self.pass_on(self.rest)
-        elif self.begun and self.body and (self.large or self.size > self.most_body):
+        elif self.begun and self.body and (self.large or self.size > self.most_body or self.lingers()):
             self.open()
         elif self.received > MOST_BYTES + self.most_body:
             self.spoilt()
@@ -247,6 +288,12 @@
         if self.begun and (self.done is not None or self.rest is not None):
             self.watch()
 
+    def lingers(self) -> bool:
+        """An answer of untold length goes on for so long that it may well be too large to be held."""
+        if self.most_answer == self.most_body or self.status != 200 or self.length() is not None:
+            return False
+        return self.stall is not None and asyncio.get_running_loop().time() > self.begun_at + LINGERS
+
     def open(self) -> None:
         """Hand over what has come of an answer that is too large to be held, and the way to the rest."""
         with contextlib.suppress(OSError):
@@ -284,6 +331,7 @@
         loop = asyncio.get_running_loop()
         self.heard_at = loop.time()
         if self.stall is None:
+            self.begun_at = self.heard_at
             self.stall = loop.call_later(STALL, self.look)
 
     def look(self) -> None:
--- a/zinclever/http1/front.py
+++ b/zinclever/http1/front.py
@@ -17,7 +17,7 @@
 from ..core.counts import Replies
 from ..core.ledger import Ledger
 from ..core.protocol import Final, Incoming, Refused, Served
-from .bodies import HELD_FREELY, ROOM_UNTOLD, STEP, Room
+from .bodies import HELD_FREELY, ROOM_UNTOLD, STEP, Body, Room
 from .connection import BLANK, MOST_BODY, MOST_HEAD, OWN_HEADERS, Headers, Reply, Transfer, end_to_end
 from .wire import Payload
 
@@ -71,6 +71,7 @@
 
     READING = "a whole request"
     WAITING = "room for its body"
+    UPLOADING = "the rest of a body that goes on as it comes"
     BUSY = "an answer from the ledger"
     PASSING = "the rest of an answer that is passed on as it comes"
     WRITING = "its client to read the answer"
@@ -165,9 +166,10 @@
         """End what has taken too long, those that have waited longest first."""
         self.sweeper = self.loop.call_later(SWEEP, self.sweep) if self.count() else None
         now = self.loop.time()
-        for connection in self.overdue(State.READING, READ_FOR):
-            if connection.patience() + self.since[State.READING][connection] <= now:
-                connection.too_slow()
+        for state in (State.READING, State.UPLOADING):
+            for connection in self.overdue(state, READ_FOR):
+                if connection.patience() + self.since[state][connection] <= now:
+                    connection.too_slow()
         for connection in self.overdue(State.WAITING, ROOM_FOR):
             connection.finds_no_room()
         for state in (State.WRITING, State.LINGERING, State.CLOSING):
@@ -221,7 +223,7 @@
             self.sweeper.cancel()
             self.sweeper = None
 
-    def read(self, method: str, target: str, headers: Headers, body: bytes, waited: float) -> Incoming:
+    def read(self, method: str, target: str, headers: Headers, body: bytes | Body, waited: float) -> Incoming:
         """A request that has ``waited`` so many ms here, checked: guards against the balancer being fed what it can't
         answer rightly."""
         named: dict[bytes, bytes] = {}
@@ -247,7 +249,8 @@
             wait=max(0.0, min(1000.0 * number(named.get(b"req-deadline")), self.waits[klass]) - waited),
             work=number(named[b"req-cost"]) / 1000.0 if b"req-cost" in named else 0.0,  # from µs
             retry=named.get(b"req-retry") == b"1",
-            payload=Payload(request_head(method, target, headers, body), body),
+            payload=Payload(request_head(method, target, headers), body, method != "GET" or bool(body)),
+            uploading=isinstance(body, Body),
         )
 
 
@@ -307,6 +310,7 @@
         self.raw = 0  # bytes since the last whole request
         self.in_body = False
         self.size = 0  # of the head, then of the body
+        self.upload: Body | None = None  # of the request that is out, while it is coming in
         self.room = 0  # taken for the body that is coming in
         self.out_room = 0  # and for that of the request that is out
         self.parser = httptools.HttpRequestParser(self)
@@ -395,36 +399,82 @@
                 expects = value.lower() == b"100-continue"
         if length > min(MOST_UPLOAD, self.front.room.limit):
             raise Rejected(413)
-        if length > HELD_FREELY:
-            self.take_room(length)
+        self.length = length or None
         if expects and not self.owing():
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if length > HELD_FREELY and self.take_room(length):
+            self.begin_upload()
 
     def on_body(self, body: bytes) -> None:
-        self.body.append(body)
         self.size += len(body)
+        if self.upload is not None:
+            self.upload.add(body)
+        elif not self.ending:
+            self.body.append(body)
         if self.size > MOST_UPLOAD:
             raise Rejected(413)
-        if self.size > max(HELD_FREELY, self.room) and self not in self.front.room.waiting:
-            self.take_room(max(STEP, self.size - self.room))
+        lacks = self.size > max(HELD_FREELY, self.room) and not self.ending and self not in self.front.room.waiting
+        if lacks and self.take_room(max(STEP, self.size - self.room)):
+            self.begin_upload()
 
     # --- room for a body ---
 
-    def take_room(self, need: int) -> None:
+    def take_room(self, need: int) -> bool:
         """Room for a body that is coming in, at once or in its turn: until then no more of it is read."""
         if self.front.room.take(self, need):
             self.room += need
-        else:
-            self.transport.pause_reading()
-            if self.state is State.READING or self.state is State.IDLE:
-                self.front.enter(self, State.WAITING)
+            return True
+        self.transport.pause_reading()
+        if self.state in (State.READING, State.IDLE, State.UPLOADING):
+            self.front.enter(self, State.WAITING)
+        return False
 
     def granted(self, need: int) -> None:
         self.room += need
         if self.state is State.WAITING:
-            self.front.enter(self, State.READING)
+            self.front.enter(self, State.READING if self.upload is None else State.UPLOADING)
         if not self.queue and not self.ending:
             self.transport.resume_reading()
+        try:
+            self.begin_upload()
+        except Rejected as wrong:
+            self.reject(wrong.status)
+
+    # --- bodies that go on as they come ---
+
+    def begin_upload(self) -> None:
+        """Hand on a request whose body is still coming in, unless another one is before it on this connection."""
+        if self.upload is not None or self.ending or self.owing() or self.queue or self.paused:
+            return
+        body = Body(self.length)
+        method, target = self.parser.get_method().decode("latin-1"), self.url.decode("latin-1")
+        told = self.front.read(method, target, self.headers, body, 0.0)
+        for part in self.body:
+            body.add(part)
+        self.body = []
+        self.keep, self.version = self.parser.should_keep_alive(), self.parser.get_http_version()
+        self.upload = body
+        self.front.enter(self, State.UPLOADING)
+        self.hand_on(told)
+
+    def end_upload(self, body: Body) -> None:
+        """The body is whole: the request's time begins."""
+        self.upload, self.out_room, self.room = None, self.room, 0
+        self.started, self.raw, self.in_body = False, 0, False
+        self.front.room.leave(self)
+        self.front.enter(self, State.BUSY)
+        assert self.request_id is not None
+        request_id = self.request_id
+        body.finish()
+        self.front.ledger.uploaded(request_id)
+
+    def give_up_upload(self) -> None:
+        """What has come of a body will not be whole, or is of no use: nothing more goes out of it."""
+        if self.upload is not None:
+            self.upload = None
+            request_id, self.request_id = self.request_id, None
+            if request_id is not None:
+                self.front.ledger.leave(request_id)
 
     def finds_no_room(self) -> None:
         """A refusal: nothing of the request has gone out."""
@@ -445,6 +495,9 @@
         return READ_FOR + (self.size / SLOWEST if self.in_body else 0.0)
 
     def on_message_complete(self) -> None:
+        if self.upload is not None:
+            self.end_upload(self.upload)
+            return
         self.started, self.raw = False, 0
         whole = Whole(
             self.parser.get_method().decode("latin-1"), self.url.decode("latin-1"), self.headers,
@@ -479,6 +532,9 @@
             return
         waited = 1000.0 * (self.front.loop.time() - whole.at)
         told = self.front.read(whole.method, whole.target, whole.headers, whole.body, waited)
+        self.hand_on(told)
+
+    def hand_on(self, told: Incoming) -> None:
         self.request_id = told.id
         ledger = self.front.ledger
         self.replies = ledger.counts.of(ledger.settings.classes[told.klass].name)
@@ -506,6 +562,9 @@
     def answer(self, answer: Answer) -> None:
         """The answer to the request that is out."""
         self.request_id = None
+        if self.upload is not None:
+            self.cut_short(answer)
+            return
         self.let_go()
         if self.transport.is_closing():
             return
@@ -536,6 +595,10 @@
     def pass_on(self, reply: Reply, rest: Transfer) -> None:
         """Begin an answer that is too large to be held; its source follows the pace of the client."""
         self.request_id = None
+        if self.upload is not None:  # an answer to half a request
+            rest.abort()
+            self.cut_short(Answer(502))
+            return
         self.let_go()
         if self.transport.is_closing():
             rest.abort()
@@ -608,19 +671,30 @@
             self.front.enter(self, State.READING if self.started else State.IDLE)
             self.go_on()
 
+    def cut_short(self, answer: Answer) -> None:
+        """Answer a request whose body is still coming in, and end the connection: the rest is dropped."""
+        self.upload = None
+        if not self.transport.is_closing():
+            self.linger(answer)
+
+    def linger(self, answer: Answer) -> None:
+        """The last answer on this connection, while its client may still be sending."""
+        self.ending, self.raw, self.body = True, 0, []
+        self.leave_room(all=True)
+        self.front.enter(self, State.LINGERING)
+        self.transport.write(render(answer, keep=False))
+        self.transport.write_eof()
+        self.transport.resume_reading()
+
     def reject(self, status: int) -> None:
         """Answer what is no proper request, after those before it, and end the connection."""
+        self.give_up_upload()
         if self.request_id is not None or self.source is not None or self.queue:
             self.rejected = status
             self.transport.pause_reading()
         elif not self.ending:
-            self.ending, self.raw = True, 0
-            self.leave_room(all=True)
-            self.body = []
-            self.front.enter(self, State.LINGERING)
             advice = b"Retry-After: %.3f\r\n" % (ROOM_ADVICE / 1000.0) if status == 503 else b""
-            self.transport.write(render(Answer(status, advice), keep=False))
-            self.transport.write_eof()
+            self.linger(Answer(status, advice))
 
     # --- ends that the server chooses ---
 
@@ -670,8 +744,6 @@
     )
 
 
-def request_head(method: str, target: str, headers: Headers, body: bytes) -> bytes:
-    """The head that goes to every endpoint, but for its last header. A whole body needs no chunks."""
-    length = b"" if not body and method == "GET" else b"Content-Length: %d\r\n" % len(body)
-    passed = end_to_end(headers, TO_ENDPOINTS)
-    return b"%b %b HTTP/1.1\r\n%b%b" % (method.encode(), target.encode("latin-1"), passed, length)
+def request_head(method: str, target: str, headers: Headers) -> bytes:
+    """The head that goes to every endpoint, but for its last headers, which its attempt words."""
+    return b"%b %b HTTP/1.1\r\n%b" % (method.encode(), target.encode("latin-1"), end_to_end(headers, TO_ENDPOINTS))
--- a/zinclever/http1/wire.py
+++ b/zinclever/http1/wire.py
@@ -11,6 +11,7 @@
 from ..core.descriptors import Descriptors
 from ..core.pools import ExclusivePools
 from ..core.protocol import Ended
+from .bodies import Body
 from .connection import Broken, ClientConnection, Reply, Sent, dial
 
 HOLD = 0.002  # s, over a round trip: for how long the last byte of what may not be repeated is held back
@@ -22,7 +23,9 @@
 
     head: bytes
     """Request line and the headers that are passed on."""
-    body: bytes
+    body: bytes | Body
+    framed: bool = True
+    """It says how long its body is, also where that is empty."""
 
 
 def outcome_of(reply: Reply) -> i.Outcome:
@@ -34,13 +37,21 @@
     return "error"
 
 
+def framing(body: bytes | Body, framed: bool) -> bytes:
+    """The end of the head: how long the body is."""
+    if not framed:
+        return b"\r\n"
+    length = body.length if isinstance(body, Body) else len(body)
+    return b"Transfer-Encoding: chunked\r\n\r\n" if length is None else b"Content-Length: %d\r\n\r\n" % length
+
+
 class Exchange:
     """One attempt on the wire: waiting for its connection, then for its answer."""
 
-    __slots__ = ("body", "connection", "ended", "head", "hold", "sent")
+    __slots__ = ("body", "connection", "ended", "framed", "head", "hold", "sent")
 
-    def __init__(self, head: bytes, body: bytes, ended: Ended, hold: float, sent: Sent) -> None:
-        self.head, self.body, self.hold, self.sent = head, body, hold, sent
+    def __init__(self, head: bytes, body: bytes | Body, framed: bool, ended: Ended, hold: float, sent: Sent) -> None:
+        self.head, self.body, self.framed, self.hold, self.sent = head, body, framed, hold, sent
         self.ended: Ended | None = ended
         self.connection: ClientConnection | None = None
 
@@ -50,12 +61,32 @@
     def end(self, outcome: i.Outcome, reply: Reply | None = None) -> None:
         ended, self.ended = self.ended, None
         self.connection = None
+        self.leave()
         if ended is not None:
             ended(outcome, reply, read_report(reply) if reply is not None else {})
 
     def run(self, connection: ClientConnection) -> None:
         self.connection = connection
-        connection.request(self.head, self.done, self.hold, self.sent, self.body)
+        body = self.body
+        if isinstance(body, Body) and not body.whole:
+            connection.begin_upload(self.head + framing(body, True), self.done, self.sent, body.length is None)
+            body.follow(self)
+        else:
+            whole = body.bytes() if isinstance(body, Body) else body
+            connection.request(self.head + framing(whole, self.framed), self.done, self.hold, self.sent, whole)
+
+    def more(self, data: bytes) -> None:
+        """A piece of the body that is still coming in."""
+        if self.connection is not None:
+            self.connection.upload(data)
+
+    def last(self, data: bytes) -> None:
+        if self.connection is not None:
+            self.connection.end_upload(data, self.hold)
+
+    def leave(self) -> None:
+        if isinstance(self.body, Body):
+            self.body.leave(self)
 
     def done(self, result: Reply | Broken) -> None:
         if isinstance(result, Reply):
@@ -65,11 +96,12 @@
 
     def begun(self) -> bool:
         """Whether the endpoint may have the whole request."""
-        return self.connection is not None and self.connection.held is None
+        return self.connection is not None and not self.connection.outstanding()
 
     def cancel(self, silent: bool) -> None:
         """Stop waiting and end the connection. Nothing is reported."""
         self.ended = None
+        self.leave()
         if self.connection is not None:
             self.connection.abort()
             self.connection = None
@@ -89,8 +121,8 @@
     def start(self, endpoint: str, payload: Payload, left: float, ended: Ended, unsafe: bool) -> Exchange:
         """Begin an attempt that is waited for ``left`` seconds. The last byte of an unsafe one is held back:
         most connections that break do so before."""
-        head = b"%bReq-Deadline: %.3f\r\n\r\n" % (payload.head, left)
-        exchange = Exchange(head, payload.body, ended, HOLD if unsafe else 0.0, self.dispatched)
+        head = b"%bReq-Deadline: %.3f\r\n" % (payload.head, left)
+        exchange = Exchange(head, payload.body, payload.framed, ended, HOLD if unsafe else 0.0, self.dispatched)
         self.carry(endpoint, exchange)
         return exchange
 
--- a/zinclever/interface.py
+++ b/zinclever/interface.py
@@ -223,6 +223,16 @@
     work: float = 0.0
     """Expected work, as time on a standard core; 0: not told."""
     client_retry: bool = False
+    uploading: bool = False
+    """Its body is still coming in: its time begins with :class:`UploadEnded`. An attempt gets the body as it comes and
+    can't run before its end; the whole body is kept for another one."""
+
+
+class UploadEnded(NamedTuple):
+    """The body of a request that was ``uploading`` is whole: from now on it is as any other."""
+
+    request: str
+    deadline: float
 
 
 class RequestClosed(NamedTuple):
@@ -277,8 +287,8 @@
 
 
 Event = (
-    MembershipNews | RequestArrived | RequestClosed | StreamStarted | AttemptEnded | TimerFired | PeerMessage
-    | ProbeEnded
+    MembershipNews | RequestArrived | UploadEnded | RequestClosed | StreamStarted | AttemptEnded | TimerFired
+    | PeerMessage | ProbeEnded
 )
 
 
--- a/zinclever/policy.py
+++ b/zinclever/policy.py
@@ -308,11 +308,12 @@
 
 
 class Attempt:
-    __slots__ = ("endpoint", "given_up", "live", "long", "overdue_at", "passed", "sent_at", "side")
+    __slots__ = ("begun", "endpoint", "given_up", "live", "long", "overdue_at", "passed", "sent_at", "side")
 
     def __init__(self, endpoint: Endpoint, side: Side, sent_at: float, overdue_at: float) -> None:
         self.endpoint, self.side, self.sent_at, self.live = endpoint, side, sent_at, True
         self.overdue_at = overdue_at
+        self.begun = False  # counted in flight: not while its body is still coming in
         self.long = False  # out for so long that it counts as swallowed
         self.passed = False  # counted among the side's overdue ones
         self.given_up = False  # cancelled so that the request may go elsewhere
@@ -323,20 +324,27 @@
 
     __slots__ = (
         "aim_at", "attempts", "begun", "bound", "closed", "deadline", "held", "id", "key", "klass", "live",
-        "place", "tenant", "work",
+        "place", "tenant", "uploading", "work",
     )
 
     def __init__(self, told: i.RequestArrived, klass: Klass, tenant: Share, now: float) -> None:
         self.id, self.klass, self.tenant, self.key = told.request, klass, tenant, told.key
-        self.deadline, self.work = told.deadline, told.work
-        aim = now + klass.told.aim + klass.told.aim_stretch * told.work
-        self.aim_at = min(aim, told.deadline) if klass.told.late_worth == 0 else told.deadline
+        self.work, self.uploading = told.work, told.uploading
+        self.deadline = self.aim_at = NEVER
+        if not told.uploading:
+            self.start(now, told.deadline)
         self.attempts: list[Attempt] = []
         self.live = 0
         self.bound: Attempt | None = None  # the first attempt that may have run
         self.closed = self.begun = self.held = False
         self.place = 1.0  # where its worth ranks in this balancer's demand: 0 for the least
 
+    def start(self, now: float, deadline: float) -> None:
+        """Its time begins."""
+        self.deadline = deadline
+        aim = now + self.klass.told.aim + self.klass.told.aim_stretch * self.work
+        self.aim_at = min(aim, deadline) if self.klass.told.late_worth == 0 else deadline
+
 
 class Klass:
     """A class of requests: its settings, its mean latency over the fleet, its copies to come."""
@@ -426,6 +434,8 @@
                 self.close(now, self.requests[event.request])
         elif isinstance(event, i.StreamStarted):
             self.on_stream(now, event)
+        elif isinstance(event, i.UploadEnded):
+            self.on_uploaded(now, event)
         self.run_overdue(now)
         if self.held:
             self.serve_held(now)
@@ -447,7 +457,9 @@
         for budget in (self.retries, self.copies):
             if budget is not None:
                 budget.asked(now)
-        if event.client_retry and klass.told.late_worth == 0 and self.crowded():
+        if r.uploading:
+            self.send_early(now, r)
+        elif event.client_retry and klass.told.late_worth == 0 and self.crowded():
             # Its first try waited out most of the aim: in a crowd others can still be served in time.
             self.conclude(now, r)
         elif not self.admits(now, r) or not self.send(now, r):
@@ -460,6 +472,9 @@
         a = r.attempts[event.attempt]
         if not a.live:
             return
+        if not a.begun:  # its body was still coming in: it was nowhere in flight, and took no time
+            self.begin(now, r, a)
+            event = event._replace(elapsed=0.0)
         a.live = False
         r.live -= 1
         self.inflight -= 1
@@ -474,9 +489,38 @@
             r.bound = a
         if r.closed or event.complete:
             self.close(now, r)
+        elif r.uploading:
+            if r.bound is not None and not r.klass.idempotent:
+                self.conclude(now, r)
+            elif not r.live:
+                self.send_early(now, r)
         elif not r.begun and not r.held and not self.move_on(now, r, outcome) and not r.live:
             self.conclude(now, r)
 
+    def send_early(self, now: float, r: Request) -> None:
+        """An attempt for a body that is still coming in, where there is room: what it has of it by the end is not
+        waited for then. One attempt is left for when it is whole."""
+        if len(r.attempts) < self.limits.max_attempts - 1 and self.admits(now, r):
+            self.send(now, r)
+
+    def on_uploaded(self, now: float, event: i.UploadEnded) -> None:
+        """A body is whole: the request's time begins, and its attempts are in flight from now on."""
+        r = self.requests.get(event.request)
+        if r is None or r.closed or not r.uploading:
+            return
+        r.uploading = False
+        r.start(now, event.deadline)
+        for a in r.attempts:
+            if a.live:
+                a.sent_at, a.overdue_at = now, now + self.usual(r)
+                self.begin(now, r, a)
+        if r.live:
+            self.plan_copy(now, r)
+        elif r.attempts and not self.may_send(now, r):
+            self.conclude(now, r)
+        elif not self.admits(now, r) or not self.send(now, r):
+            self.hold(r)
+
     def on_stream(self, now: float, event: i.StreamStarted) -> None:
         r = self.requests.get(event.request)
         if r is None or r.closed or event.attempt >= len(r.attempts):
@@ -550,27 +594,37 @@
         e = self.draw(now, r)
         if e is None:
             return False
-        if not e.inflight:
-            e.quiet_from = now - e.silence(now)
-        side = self.side(e)
-        e.inflight += 1
-        side.inflight += 1
-        self.inflight += 1
         if self.cold(now, e):
             e.tokens -= 1.0
         if not r.attempts:
             r.tenant.used.add(now, 0.0)
             self.used.add(now, 0.0)
-        a = Attempt(e, side, now, now + self.usual(r))
+        a = Attempt(e, self.side(e), now, now + self.usual(r))
         r.attempts.append(a)
-        self.count += 1
-        heapq.heappush(self.late, (a.overdue_at, self.count, r, a))
         r.live += 1
+        if not r.uploading:
+            self.begin(now, r, a)
         # In a crowd work that misses its aim is stopped; else it may run on: a late answer spares a retry.
         self.out.append(i.Send(r.id, e.name, r.aim_at if self.crowded() else r.deadline))
+        if not r.uploading:
+            self.plan_copy(now, r)
+        return True
+
+    def begin(self, now: float, r: Request, a: Attempt) -> None:
+        """An attempt is in flight from now on, and is to be heard of in its time."""
+        e = a.endpoint
+        if not e.inflight:
+            e.quiet_from = now - e.silence(now)
+        e.inflight += 1
+        a.side.inflight += 1
+        self.inflight += 1
+        a.begun = True
+        self.count += 1
+        heapq.heappush(self.late, (a.overdue_at, self.count, r, a))
+
+    def plan_copy(self, now: float, r: Request) -> None:
         if r.klass.idempotent and self.limits.second_copies:
             r.klass.copies.append((now + r.klass.delay, r))
-        return True
 
     def draw(self, now: float, r: Request) -> Endpoint | None:
         """The better of two random unused ready endpoints, drawn by told size.
