--- a/standins/many.py
+++ b/standins/many.py
@@ -10,6 +10,7 @@
 import copy
 import heapq
 import itertools
+import math
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -225,6 +226,7 @@
         self.open: dict[str, int] = {}
         self.idle: dict[str, list[float]] = {}
         """Of each server, when its idle connections were last used, oldest first."""
+        self.answered_at: dict[str, float] = {}
         self.total = 0
         self.requests: dict[str, float] = {}
         self.attempts: dict[str, list[Attempt]] = {}
@@ -379,7 +381,7 @@
         if not attempt.server.dial():
             self.total -= 1
             self.open[attempt.server.name] -= 1
-            self.connections.refused(self.world.now)
+            self.connections.not_connected(self.world.now, self.answered_at.get(attempt.server.name, -math.inf))
             attempt.end("connect_failed")
             return
         attempt.kept = True
@@ -393,6 +395,7 @@
             attempt.server.receive(attempt)
 
     def free(self, server: Server) -> None:
+        self.answered_at[server.name] = self.world.now
         self.idle.setdefault(server.name, []).append(self.world.now)
         self.world.at(self.world.now + IDLE_FOR, self.reap, server)
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 from collections import Counter
 from contextlib import AsyncExitStack
@@ -13,7 +14,7 @@
 
 import pytest
 from helpers import LIMITS, SAFE, UNSAFE, Sidecar, fleet, settings
-from loopback import always, host, run, serving, sidecar, silence
+from loopback import always, host, response, run, serving, sidecar, silence
 from test_fault_day import CLASSES, SETTINGS, TERMS, Side
 from test_program import config
 from test_program import started as started_program
@@ -23,7 +24,7 @@
 from standins.day import ask_http
 from standins.http_endpoint import HttpEndpoint
 from zinclever import interface as i
-from zinclever.fleet.limits import BACK_OFF_EACH, CALM_FOR, LONGEST_WATCH, Bucket, Budget, Calls, Connections
+from zinclever.fleet.limits import ALIVE_FOR, BACK_OFF_EACH, CALM_FOR, LONGEST_WATCH, Bucket, Budget, Calls, Connections
 
 CAPS = i.Shares(connections=400.0, handshakes_per_s=100.0, busy=4)
 GROUP, SERVERS, WIDTH = 20_000, 2000, 20
@@ -430,3 +431,54 @@
             assert answered.count("served") > 0.8 * len(answered) > 100
 
     run(test)
+
+
+# --- what a failed dial tells ---
+
+
+def test_more_failed_dials_than_servers_die_are_refusals() -> None:
+    one = connections(replace(CAPS, handshakes_per_s=0.0))
+    for n in range(20):
+        one.may_open(100.0 * n, 0, 0)
+        one.not_connected(100.0 * n, -math.inf)
+    assert one.level < 0.5 * one.equal
+
+
+def test_a_dead_server_is_no_refusal_and_a_full_one_is() -> None:
+    one = connections(replace(CAPS, handshakes_per_s=0.0))
+    for n in range(50):
+        for _ in range(5):
+            assert one.may_open(1000.0 * n, 0, 0)
+        one.not_connected(1000.0 * n, 1000.0 * n - ALIVE_FOR - 1.0 if n % 2 else -math.inf)
+    assert one.level == one.equal
+    one.not_connected(60_000.0, 60_000.0 - ALIVE_FOR)
+    assert one.level == pytest.approx(0.7 * one.equal)
+
+
+def test_an_endpoint_that_has_answered_and_takes_no_more_counts_as_full() -> None:
+    """On real sockets: one that was never there leaves the part as it is; one that answered a moment ago, and can't be
+    reached now, lowers it."""
+
+    def react(event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.RequestArrived):
+            return [i.Send(event.request, "e" if event.request.startswith("e") else "none", 0.0)]
+        if isinstance(event, i.AttemptEnded) and event.outcome != "served":
+            return [i.Refuse(event.request)]
+        return []
+
+    async def test() -> None:
+        async with serving(always(response())) as (_, at):
+            hosts = {"seq": 1, "whole": True, "hosts": [host("e", at), host("none", "127.0.0.1:1")]}
+            async with sidecar(react, hosts, shares=i.Shares(connections=10.0)) as s:
+                c = await s.client()
+                for n in range(3):
+                    assert (await c.ask(Req_Id=f"none{n}")).status == 503
+                assert s.sidecar.connections.part == 1.0
+                assert (await c.ask(Req_Id="e1")).status == 200
+                pool = s.wire.pools["e"]
+                s.wire.close_idle("e")
+                pool.address = ("127.0.0.1", 1)
+                assert (await c.ask(Req_Id="e2")).status == 503
+                assert s.sidecar.connections.part == pytest.approx(0.7)
+
+    run(test)
--- a/zinclever/core/pools.py
+++ b/zinclever/core/pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Generic, Protocol, TypeVar
 
@@ -45,7 +46,7 @@
 class Pool(Generic[C]):
     """The connections to one endpoint that are free, oldest first."""
 
-    __slots__ = ("address", "idle", "left", "open")
+    __slots__ = ("address", "answered_at", "idle", "left", "open")
 
     def __init__(self, address: Address) -> None:
         self.address = address
@@ -54,6 +55,8 @@
         self.left = False
         """The endpoint is gone from there: connections are not kept."""
         self.idle: list[C] = []
+        self.answered_at = -math.inf
+        """ms on the loop's clock: when a connection to it last became free by an answer."""
 
 
 class ExclusivePools(Generic[C]):
@@ -135,13 +138,13 @@
             )
         except OSError:
             self.count(pool, -1)
-            self.connections.refused(1000.0 * self.loop.time())
+            self.connections.not_connected(1000.0 * self.loop.time(), pool.answered_at)
             attempt.end("connect_failed")
             return
         if attempt.waiting():
             attempt.run(connection)
         else:
-            self.free(pool, connection)
+            self.free(pool, connection)  # it has come up, which tells as much as an answer
 
     def count(self, pool: Pool[C], by: int) -> None:
         """One connection more, or less."""
@@ -167,8 +170,10 @@
         if pool.left:
             connection.abort()
             return
+        now = self.loop.time()
+        pool.answered_at = 1000.0 * now
         pool.idle.append(connection)
-        self.idle[connection] = (self.loop.time() + self.idle_for, pool)
+        self.idle[connection] = (now + self.idle_for, pool)
         if self.reaper is None:
             self.reaper = self.loop.call_later(self.idle_for, self.reap)
 
--- a/zinclever/core/shared.py
+++ b/zinclever/core/shared.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Generic, Protocol, TypeVar
@@ -182,7 +183,9 @@
             connection = await self.dial(pool.address, self.connect_timeout, self)
         except OSError:
             self.descriptors.open -= 1
-            self.connections.refused(1000.0 * self.loop.time())
+            now = 1000.0 * self.loop.time()
+            # Where another connection is up the endpoint lives, and has no room for one more.
+            self.connections.not_connected(now, now if pool.connections else -math.inf)
             pool.dialling = False
             waiting, pool.waiting = pool.waiting, deque()
             for attempt in waiting:
--- a/zinclever/fleet/limits.py
+++ b/zinclever/fleet/limits.py
@@ -28,6 +28,9 @@
 RETRY_MOST = 1.0 / 3.0  # of that time, between two tries where discovery has room for them
 FAILED_PART = 3.5  # times it, at the most: the rules allow four after a failed call
 LONGEST_WATCH = 120_000.0  # ms: a discovery that has fallen silent is noticed no sooner
+DEAD_PART = 0.3  # of the connections begun that may fail by servers which have died: a data centre's part is more
+DEAD_FEW = 10.0  # connections begun that it takes to outweigh that none fails
+ALIVE_FOR = 2_000.0  # ms after its last answer for which a server that can't be reached is taken to be full, not dead
 LEAST = 1.0 / 64.0  # of its equal part that an instance goes down to: below, it could not find out that all is well
 
 
@@ -102,6 +105,25 @@
         return self.floor.take(now)
 
 
+class Dials:
+    """Of late: how many connections were begun, and how many of them didn't come up."""
+
+    __slots__ = ("at", "begun", "failed")
+
+    def __init__(self) -> None:
+        self.begun = self.failed = 0.0
+        self.at = -math.inf
+
+    def fade(self, now: float) -> None:
+        if now > self.at:
+            kept = math.exp((self.at - now) / SPAN)
+            self.begun, self.failed, self.at = self.begun * kept, self.failed * kept, now
+
+    def mostly(self) -> bool:
+        """Whether so many fail that servers which have died don't account for them."""
+        return self.failed > DEAD_PART * (self.begun + DEAD_FEW)
+
+
 class Connections:
     """How many connections one instance may hold and open.
 
@@ -112,7 +134,7 @@
     """
 
     __slots__ = (
-        "bucket", "cap", "group", "hot_each", "lacked_at", "most", "part", "refused_at", "servers", "shares",
+        "bucket", "cap", "dialled", "group", "hot_each", "lacked_at", "most", "part", "refused_at", "servers", "shares",
         "stepped_at", "width",
     )
 
@@ -123,6 +145,7 @@
         self.cap, self.hot_each = 0.0, math.inf
         self.lacked_at = self.refused_at = self.stepped_at = -math.inf
         self.bucket = Bucket(rng)
+        self.dialled = Dials()
 
     def configure(self, shares: Shares, group: int, servers: int, width: int) -> None:
         """Take the caps on each of ``servers``, in a group of so many, of which this one meets ``width``.
@@ -166,6 +189,9 @@
         if self.cap and (self.lacks(now, in_all) or to_server >= self.most_each()):
             return False
         if not self.shares.handshakes_per_s or self.bucket.take(now):
+            if self.cap or self.shares.handshakes_per_s:
+                self.dialled.fade(now)
+                self.dialled.begun += 1.0
             return True
         self.lack(now)
         return False
@@ -205,6 +231,17 @@
             self.part = min(self.most, (1.0 + STEP) * self.part)
             self.fill()
 
+    def not_connected(self, now: float, answered_at: float) -> None:
+        """A connection didn't come up, to a server that last answered at ``answered_at``.
+
+        Its table is full if it has answered a moment ago. Else it may have died, which tells nothing of the totals,
+        unless more fail than die at once.
+        """
+        self.dialled.fade(now)
+        self.dialled.failed += 1.0
+        if now - answered_at <= ALIVE_FOR or self.dialled.mostly():
+            self.refused(now)
+
     def refused(self, now: float) -> None:
         """A server had no room: the totals are higher than this instance was told."""
         if now - self.refused_at >= BACK_OFF_EACH:
