--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -339,3 +339,25 @@
             assert (await c.answer()).status == 503
 
     run(test)
+
+
+def test_who_writes_slowly_is_missed_more_than_who_stopped(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against cutting off ordinary clients, as the oldest, for hundreds that never send a whole request."""
+    monkeypatch.setattr(server, "STALE", 0.2)
+    monkeypatch.setattr(server, "FRESH", 0.01)
+
+    async def test() -> None:
+        async with sidecar(refuse_all, known(e=closed_port()), sockets=128) as s:
+            slow = await s.client()
+            stopped = [await s.client() for _ in range(s.front.most - 1)]
+            for c in stopped:
+                c.writer.write(GOOD[:20])
+            for n in range(20):  # far longer than STALE
+                slow.writer.write(GOOD[3 * n : 3 * n + 3])
+                await asyncio.sleep(0.03)
+            others = [await s.client() for _ in range(s.front.most // 2)]
+            slow.writer.write(GOOD[60:])
+            assert (await slow.answer()).status == 503
+            assert others and s.front.count() <= s.front.most
+
+    run(test)
--- a/zinclever/http1/front.py
+++ b/zinclever/http1/front.py
@@ -41,6 +41,8 @@
 WRITE_FOR = 5.0  # s in which a client has to go on reading its answer
 LINGER = 1.0  # s in which the rest of a rejected request is read and dropped, so that its answer arrives
 LINGER_BYTES = 4 * MOST_BODY  # that are read so at most: the rest is left to the kernel, which resets
+STALE = 0.5  # s without a byte after which a request that is not whole is missed least: clients that write slowly
+# pause for less, those that stop half way are silent for ever
 FRESH = 0.1  # s after connecting in which a client is about to send: others make room first
 SWEEP = 0.2  # s between two looks at who has been too slow
 REASONS = {s.value: s.phrase.encode() for s in http.HTTPStatus}
@@ -143,10 +145,14 @@
         for connection in self.since[State.LINGERING]:
             connection.drop()
             return
-        for connection, since in self.since[State.READING].items():
-            if since + FRESH > self.loop.time():
-                break
-            connection.drop()
+        reading, now = self.since[State.READING], self.loop.time()
+        stalest = min(reading, key=heard_at)  # the newcomer is one of them
+        if stalest.heard_at + STALE < now:
+            stalest.drop()
+            return
+        oldest = next(iter(reading))
+        if reading[oldest] + FRESH < now:
+            oldest.drop()
             return
         for connection in self.since[State.IDLE]:
             if connection.close_idle():
@@ -254,6 +260,10 @@
         )
 
 
+def heard_at(connection: ServerConnection) -> float:
+    return connection.heard_at
+
+
 def number(text: bytes | None) -> float:
     """A finite number above 0, or a rejection."""
     value = float(text) if text and NUMBER.fullmatch(text) else math.nan
@@ -295,6 +305,7 @@
     def __init__(self, front: Front) -> None:
         self.front = front
         self.state = State.READING
+        self.heard_at = front.loop.time()  # when it connected, or last sent something
         self.request_id: str | None = None  # of the request that is owed its answer
         self.keep = True  # the request that is out leaves the connection open
         self.version = "1.1"  # of that request
@@ -332,6 +343,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.raw += len(data)
+        self.heard_at = self.front.loop.time()
         if self.ending:
             if self.raw > LINGER_BYTES:
                 self.transport.pause_reading()
