--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -353,10 +353,10 @@
             for c in stopped:
                 c.writer.write(GOOD[:20])
             for n in range(20):  # far longer than STALE
-                slow.writer.write(GOOD[3 * n : 3 * n + 3])
+                slow.writer.write(GOOD[n : n + 1])
                 await asyncio.sleep(0.03)
             others = [await s.client() for _ in range(s.front.most // 2)]
-            slow.writer.write(GOOD[60:])
+            slow.writer.write(GOOD[20:])
             assert (await slow.answer()).status == 503
             assert others and s.front.count() <= s.front.most
 
