--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,9 +9,11 @@
 from typing import Any
 
 from helpers import RULES
-from loopback import Message, Peer, closed_port, host, response, run, serving, sidecar
+from loopback import CLASSES, Message, Peer, closed_port, host, response, run, serving, sidecar
 
+from zinclever import Settings
 from zinclever import interface as i
+from zinclever.discovery.catalog import Discovery
 
 
 def told(seq: int, whole: bool, *hosts: dict[str, Any]) -> bytes:
@@ -189,3 +191,22 @@
                 assert s.discovery.wait == wait
 
     run(test)
+
+
+def test_zones_that_a_reload_numbers_otherwise() -> None:
+    """The list is kept as it was read; zones are told by their names."""
+
+    async def test() -> None:
+        sites = {"x": "a", "y": "b", "z": "?"}
+        hosts = [host(name, "127.0.0.1:1", site=site) for name, site in sites.items()]
+        told = {"seq": 1, "hosts": hosts}
+        heard: list[Any] = []
+        settings = Settings(classes=CLASSES, discovery="on_request")
+        made = Discovery(("127.0.0.1", 1), settings, ["a", "b"], told, lambda kind, entries: heard.append(entries))
+        made.start()
+        assert [x.zone for x, _ in heard[0]] == [0, 1, 0] and heard[0] == made.remembered()
+        assert "hosts" not in told  # the text of a long list is let go
+        made.configure(settings, ["b", "a"])
+        assert [(x.endpoint, x.zone) for x, _ in made.remembered()] == [("x", 1), ("y", 0), ("z", 0)]
+
+    run(test)
--- a/zinclever/configuration/reading.py
+++ b/zinclever/configuration/reading.py
@@ -11,7 +11,7 @@
 
 from .findings import Finding
 
-MOST_FILE = 1 << 20  # bytes: some ten thousand methods
+MOST_FILE = 4 << 20  # bytes: a remembered list of some twenty thousand endpoints
 BOM = b"\xef\xbb\xbf"
 _PLACE = re.compile(r"\(at line (\d+), column (\d+)\)")
 _END = "(at end of document)"
--- a/zinclever/discovery/catalog.py
+++ b/zinclever/discovery/catalog.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
@@ -37,7 +38,7 @@
                 endpoint=h["host"],
                 phase=PHASES[h["health"]],
                 size=h.get("share") or 1.0,
-                zone=zones.index(h["site"]) if h.get("site") in zones else 0,
+                zone=zone_of(h.get("site"), zones),
                 cell=h.get("block") or 0,
                 started_at=float(h.get("born_ms") or 0.0),
             ),
@@ -47,6 +48,11 @@
     ]
 
 
+def zone_of(site: object, zones: Sequence[str]) -> int:
+    """The number of a zone; what isn't named is in the first one."""
+    return zones.index(site) if isinstance(site, str) and site in zones else 0
+
+
 #: What came of a call: kind, version, entries.
 News = tuple[i.ListKind, int, list[dict[str, Any]]]
 
@@ -129,7 +135,9 @@
         """Before the next call."""
         self.connect_timeout = settings.limits.connect_timeout
         self.configure(settings, zones)
-        self.hosts: dict[str, dict[str, Any]] = {}  # the list, as discovery words it
+        self.hosts: dict[str, tuple[Entry, str]] = {}
+        """The list, and each endpoint's zone by its name: a reload may number zones otherwise. Kept small, as the list
+        may be long where memory is little."""
         self.version: int | None = None
         self.watching = False
         self.connect(address)
@@ -159,17 +167,25 @@
 
     def start(self) -> None:
         """Begin from a list that is known already, if any."""
-        hosts = self.known.get("hosts") or []
-        self.version = self.known.get("seq") if hosts else None
+        # The text of the list takes more memory than the list: it is let go before others make theirs of it.
+        kind, entries = self.read("remembered", self.known.pop("hosts", None) or [])
+        self.version = self.known.get("seq") if entries else None
         if self.pushed:
             self.watch(True)
-        self.tell("remembered", hosts)
+        self.on_list(kind, entries)
 
     def remembered(self) -> list[Entry]:
-        return read_hosts([*self.hosts.values()], self.zones)
+        return [
+            (listed._replace(zone=zone_of(site, self.zones)), address)
+            for (listed, address), site in self.hosts.values()
+        ]
 
     def tell(self, kind: i.ListKind, hosts: list[dict[str, Any]]) -> None:
-        """Hand on the entries; news that can't be read are none."""
+        """Hand on what discovery has answered."""
+        self.on_list(*self.read(kind, hosts))
+
+    def read(self, kind: i.ListKind, hosts: list[dict[str, Any]]) -> tuple[i.ListKind, list[Entry]]:
+        """Take news into the list; those that can't be read are none."""
         entries: list[Entry] = []
         try:
             entries = read_hosts(hosts, self.zones)
@@ -178,12 +194,13 @@
             kind = "refused"
         if kind in ("whole", "remembered"):
             self.hosts.clear()
-        for (entry, _), raw in zip(entries, hosts, strict=kind != "refused"):
-            if entry.phase == "gone":
-                self.hosts.pop(entry.endpoint, None)
+        for entry, raw in zip(entries, hosts, strict=kind != "refused"):
+            listed, _ = entry
+            if listed.phase == "gone":
+                self.hosts.pop(listed.endpoint, None)
             else:
-                self.hosts[entry.endpoint] = raw
-        self.on_list(kind, entries)
+                self.hosts[listed.endpoint] = entry, sys.intern(str(raw.get("site") or ""))
+        return kind, entries
 
     def watch(self, on: bool) -> None:
         """Begin a watch anew, or leave it.
