--- a/zinclever/native.py
+++ b/zinclever/native.py
@@ -21,8 +21,8 @@
 PACKAGE = Path(__file__).parent
 MODULES = (
     "zinclever.interface", "zinclever.policy", "zinclever.fleet.limits", "zinclever.core.protocol",
-    "zinclever.core.descriptors", "zinclever.core.pools", "zinclever.core.ledger", "zinclever.http1.connection",
-    "zinclever.http1.wire", "zinclever.http1.front",
+    "zinclever.core.counts", "zinclever.core.descriptors", "zinclever.core.pools", "zinclever.core.ledger",
+    "zinclever.http1.bodies", "zinclever.http1.connection", "zinclever.http1.wire", "zinclever.http1.front",
 )
 VARIABLE = "ZINCLEVER_NATIVE"
 """Names another folder, or is ``text``: everything runs as it is written."""
