--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import replace
 from typing import Any
@@ -32,6 +33,8 @@
         self.closed: set[str] = set()
         self.sent: dict[str, list[tuple[float, str]]] = {}
         self.ended: dict[tuple[str, int], str] = {}
+        self.uploading: dict[str, float] = {}
+        """Whose bodies are still coming in, and how long their clients wait from the end on."""
         self.seen = len(self.s.all)
 
     def watch(self) -> None:
@@ -70,7 +73,12 @@
             n, span = self.rng.randrange(len(CLASSES)), self.rng.choice([30.0, 200.0, 500.0])
             name = f"r{self.s.serial + 1}"
             self.klass[name], self.deadline[name] = CLASSES[n], self.s.now + span
-            self.s.ask(n, span, key=self.rng.choice(["", "k1", "k2"]))
+            uploading = self.rng.random() < 0.3
+            if uploading:
+                self.uploading[name], self.deadline[name] = span, math.inf
+            self.s.ask(n, span, key=self.rng.choice(["", "k1", "k2"]), uploading=uploading)
+        elif what < 0.42 and self.uploading:
+            self.end_upload(self.rng.choice(sorted(self.uploading)))
         elif what < 0.75:
             self.end_one()
         elif what < 0.8:
@@ -90,6 +98,16 @@
             self.pass_time(self.rng.choice([1.0, 20.0, 80.0]))
         self.watch()
 
+    def end_upload(self, r: str) -> None:
+        """The last byte: only now can an attempt that is out run."""
+        self.deadline[r] = self.s.now + self.uploading.pop(r)
+        if r in self.closed:
+            return
+        for n, (_, endpoint) in enumerate(self.sent.get(r, [])):
+            if (r, n) not in self.ended:
+                self.sent[r][n] = self.s.now, endpoint
+        self.s.feed(i.UploadEnded(r, self.deadline[r]))
+
     def end_one(self) -> None:
         sent = [(r, n) for r in sorted(self.sent) for n in range(len(self.sent[r]))]
         out = [x for x in sent if x not in self.ended]
@@ -120,6 +138,9 @@
     def story(self, steps: int) -> list[tuple[float, i.Action]]:
         for _ in range(steps):
             self.step()
+        for r in sorted(self.uploading):
+            self.end_upload(r)
+            self.watch()
         self.pass_time(700.0)
         assert set(self.klass) <= self.closed, "a request was lost"
         return self.s.all
