--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -57,9 +57,11 @@
                 assert program.returncode is None, "the program has ended"
                 await asyncio.sleep(0.02)
                 continue
-            assert (await client.ask("/_health")).status == 200
+            healthy = (await client.ask("/_health")).status == 200
             client.writer.close()
-            break
+            if healthy:  # not yet where the list is still to come from discovery
+                break
+            await asyncio.sleep(0.02)
         yield program
     finally:
         if program.returncode is None:
