Hand in what the program reads of its machine

Clocks, random numbers, kernel queues, sockets, files and who else is alive came from the operating system wherever they were needed; a simulated machine could not stand in for it. They come through core.host.Host now, which zinclever.system implements.

--- a/benchmarks/jsonrpc.py
+++ b/benchmarks/jsonrpc.py
@@ -34,6 +34,7 @@
 from zinclever.configuration.check import check_operator
 from zinclever.configuration.operator import build
 from zinclever.core.descriptors import Descriptors
+from zinclever.system import System
 
 ROOT = Path(__file__).parent.parent
 TICK = os.sysconf("SC_CLK_TCK")
@@ -345,7 +346,7 @@
 
     async def main() -> None:
         told, = build(check_operator(operator_text(port, ports).encode()).clean).services.values()
-        made = JsonRpc(told, 1, Descriptors(4096))
+        made = JsonRpc(told, 1, Descriptors(4096), System())
         made.ledger.balancer = SendAll(told.settings, 1)
         await made.service.listen()
         await asyncio.Event().wait()
--- a/benchmarks/request.py
+++ b/benchmarks/request.py
@@ -33,6 +33,7 @@
 from zinclever.discovery.fixed import Fixed
 from zinclever.http1.front import Front
 from zinclever.http1.wire import HttpWire
+from zinclever.system import System
 
 from .jsonrpc import ROOT, HttpCaller, HttpEcho, cpu_of, endpoints, free_port, measure, sidecar, wait_for
 
@@ -168,7 +169,8 @@
     async def main() -> None:
         descriptors = Descriptors(4096)
         listed = [(i.Listed(f"e{p}"), ("127.0.0.1", p)) for p in ports]
-        ledger = Ledger(Balancer(told, 1), HttpWire(descriptors), lambda on: Fixed(listed, on), descriptors)
+        ledger = Ledger(Balancer(told, 1), HttpWire(descriptors, System()), lambda on: Fixed(listed, on),
+                        descriptors, System())
         front = Front(ledger)
         await asyncio.get_running_loop().create_server(front.connection, "127.0.0.1", port)
         ledger.start()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -18,7 +18,9 @@
 from zinclever.discovery.catalog import Discovery
 from zinclever.http1.front import Front
 from zinclever.http1.wire import HttpWire
+from zinclever.system import System
 
+SYSTEM = System()
 PATIENCE = 20.0  # s: far more than any wait here takes
 CLASSES = (
     i.RequestClass(aim=5000.0, deadline=9000.0, repeat="idempotent", name="read"),
@@ -232,9 +234,9 @@
     where, _, port = (discovery or closed_port()).partition(":")
     descriptors = Descriptors(sockets)
     made = Ledger(
-        balancer, HttpWire(descriptors),
-        lambda on_list: Discovery((where, int(port)), balancer.settings, ["a", "b"], hosts or {}, on_list),
-        descriptors,
+        balancer, HttpWire(descriptors, SYSTEM),
+        lambda on_list: Discovery((where, int(port)), balancer.settings, ["a", "b"], hosts or {}, on_list, SYSTEM),
+        descriptors, SYSTEM,
     )
     front = Front(made)
     loop = asyncio.get_running_loop()
--- a/tests/rpc.py
+++ b/tests/rpc.py
@@ -17,6 +17,7 @@
 from zinclever.configuration.check import check_operator
 from zinclever.configuration.operator import build
 from zinclever.core.descriptors import Descriptors
+from zinclever.system import System
 
 READ = Klass("read", "page.get", "idempotent", 6000.0)
 TIP = Klass("tip", "tip.send", "at_most_once", 6000.0)
@@ -100,7 +101,7 @@
         report = check_operator(told.encode())
         assert not report.errors, report.errors
         spec, = build(report.clean).services.values()
-        made = JsonRpc(spec, 1, Descriptors(sockets))
+        made = JsonRpc(spec, 1, Descriptors(sockets), System())
         if react is not None:
             made.ledger.balancer = Scripted(spec.settings, react)
         loop = asyncio.get_running_loop()
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -6,7 +6,7 @@
 import socket
 
 import pytest
-from loopback import run
+from loopback import SYSTEM, run
 
 from zinclever.http1.connection import Broken, ClientConnection, Reply, dial
 
@@ -23,7 +23,7 @@
             listener.listen()
             listener.setblocking(False)
             lost: list[ClientConnection] = []
-            connection = await dial(listener.getsockname(), 5.0, lost.append, lost.append)
+            connection = await dial(SYSTEM, listener.getsockname(), 5.0, lost.append, lost.append)
             other, _ = await loop.sock_accept(listener)
             result: asyncio.Future[Reply | Broken] = loop.create_future()
             connection.request(b"x" * size, result.set_result)
@@ -48,7 +48,7 @@
                 s.setblocking(False)
                 s.connect_ex(listener.getsockname())
             with pytest.raises(OSError):
-                await dial(listener.getsockname(), 0.1, lambda c: None, lambda c: None)
+                await dial(SYSTEM, listener.getsockname(), 0.1, lambda c: None, lambda c: None)
             for s in full:
                 s.close()
 
@@ -66,7 +66,7 @@
             listener.listen()
             listener.setblocking(False)
             told: list[Reply | Broken] = []
-            connection = await dial(listener.getsockname(), 5.0, lambda c: None, lambda c: None)
+            connection = await dial(SYSTEM, listener.getsockname(), 5.0, lambda c: None, lambda c: None)
             other, _ = await loop.sock_accept(listener)
             connection.request(b"x", told.append)
             assert await loop.sock_recv(other, 100) == b"x"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from helpers import RULES
-from loopback import CLASSES, Message, Peer, closed_port, host, response, run, serving, sidecar
+from loopback import CLASSES, SYSTEM, Message, Peer, closed_port, host, response, run, serving, sidecar
 
 from zinclever import Settings
 from zinclever import interface as i
@@ -202,7 +202,8 @@
         told = {"seq": 1, "hosts": hosts}
         heard: list[Any] = []
         settings = Settings(classes=CLASSES, discovery="on_request")
-        made = Discovery(("127.0.0.1", 1), settings, ["a", "b"], told, lambda kind, entries: heard.append(entries))
+        made = Discovery(("127.0.0.1", 1), settings, ["a", "b"], told, lambda kind, entries: heard.append(entries),
+                         SYSTEM)
         made.start()
         assert [x.zone for x, _ in heard[0]] == [0, 1, 0] and heard[0] == made.remembered()
         assert "hosts" not in told  # the text of a long list is let go
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -18,6 +18,7 @@
 
 from zinclever.handover.listener import inherited
 from zinclever.handover.presence import Overlap, Presence
+from zinclever.system import System
 
 HOLD = """
 import sys
@@ -170,7 +171,7 @@
     async def test() -> None:
         told, _ = read(config(tmp_path, limits={"sockets": 256}))
         assert told is not None
-        platform = Platform(told, Descriptors(told.sockets))
+        platform = Platform(told, Descriptors(told.sockets), System())
         platform.share_with(1)
         assert platform.descriptors.most == 128 - RESERVED and platform.front.most == 64
         platform.adopt(await changed(tmp_path))
--- a/tests/test_jsonrpc_wire.py
+++ b/tests/test_jsonrpc_wire.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from loopback import PATIENCE, run
+from loopback import PATIENCE, SYSTEM, run
 from rpc import READ, TIP, Setup, result, service
 
 from standins import Fault, always, audit
@@ -210,7 +210,7 @@
         self.watch = Watch()
         proofs = Proofs(frozenset(), frozenset())
         self.connection = await dial(
-            listener.getsockname(), 5.0, "lines", proofs.outcome, self.watch, Counter()
+            SYSTEM, listener.getsockname(), 5.0, "lines", proofs.outcome, self.watch, Counter()
         )
         self.other, _ = await self.loop.sock_accept(listener)
         listener.close()
--- a/zinclever/__main__.py
+++ b/zinclever/__main__.py
@@ -5,13 +5,9 @@
 import asyncio
 import contextlib
 import logging
-import os
 import signal
-import socket
 import sys
-import tempfile
-from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -20,48 +16,49 @@
 from .configuration.load import ConfigError, read
 from .configuration.platform import Config
 from .core.service import Service, drain
-from .handover.listener import inherited
-from .handover.presence import LOOK, NOTICED, Overlap, Presence
+from .handover.presence import LOOK, NOTICED, Overlap
+from .system import System
 
 if TYPE_CHECKING:
     from .configuration.operator import Operator
+    from .core.host import Host
 
 log = logging.getLogger("zinclever")
 
 LEARN_FOR = 4.0  # s for which a newcomer without a list leaves clients to the process that is there
 
 
-def reload(assembly: Assembly) -> None:
+def reload(assembly: Assembly, host: Host) -> None:
     """What a SIGHUP does: the files are read again, and what differs from before is put into service.
 
     Where one can't be read or used this is logged, and what holds goes on. The environment is that of the
     start and can't have changed since: for discovery the file holds.
     """
-    env = {k: v for k, v in os.environ.items() if k != "LB_DISCOVERY"}
+    env = {k: v for k, v in host.environ.items() if k != "LB_DISCOVERY"}
     try:
-        config, operator = read(env)
+        config, operator = read(env, host.read_file)
     except ConfigError as wrong:
         log.error("configuration not reloaded: %s", wrong)
         return
     assembly.adopt(config, operator)
 
 
-async def serve(config: Config | None, operator: Operator | None) -> None:
+async def serve(config: Config | None, operator: Operator | None, host: Host) -> None:
     """Serve until SIGTERM or SIGINT, then finish what is held."""
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    assembly = Assembly(config, operator)
-    loop.add_signal_handler(signal.SIGHUP, reload, assembly)
+    assembly = Assembly(config, operator, host)
+    loop.add_signal_handler(signal.SIGHUP, reload, assembly, host)
     admin = await answer_operators(assembly)
-    overlap = take_over(assembly)
+    overlap = take_over(assembly, host)
     for service in assembly.services():
         service.start()
     if overlap is not None and overlap.others:
         await let_make_room(assembly)
     for service in assembly.services():
-        await service.listen(listener(assembly, service))
+        await service.listen(listener(assembly, service, host))
     await stopped.wait()
     await drain(assembly.services(), overlap is not None and overlap.others > 0)
     if overlap is not None:
@@ -80,12 +77,12 @@
     return admin
 
 
-def take_over(assembly: Assembly) -> Overlap | None:
+def take_over(assembly: Assembly, host: Host) -> Overlap | None:
     """Look out for other processes of this sidecar, where the platform lets one take over from another."""
     platform = assembly.platform
     if platform is None or platform.config.inherited is None:
         return None
-    overlap = Overlap(Presence(Path(tempfile.gettempdir()), platform.config.listen), platform.share_with)
+    overlap = Overlap(host.presence(platform.config.listen), platform.share_with)
     try:
         overlap.begin()
     except OSError as wrong:
@@ -105,12 +102,12 @@
                 await asyncio.sleep(LOOK)
 
 
-def listener(assembly: Assembly, service: Service) -> socket.socket | None:
+def listener(assembly: Assembly, service: Service, host: Host) -> Any:
     """The socket that a service finds listening, if any. OSError where it is none."""
     platform = assembly.platform
     if platform is None or service is not platform.service or platform.config.inherited is None:
         return None
-    return inherited(platform.config.inherited)
+    return host.inherited(platform.config.inherited)
 
 
 def main() -> int:
@@ -127,14 +124,15 @@
         print("zinclever: no arguments but config; the environment names its files", file=sys.stderr)
         return 2
     logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    host = System()
     try:
-        config, operator = read(os.environ)
+        config, operator = read(host.environ, host.read_file)
     except ConfigError as wrong:
         print(f"zinclever: {wrong}", file=sys.stderr)
         return 2
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, operator))
+            runner.run(serve(config, operator, host))
     except OSError as wrong:
         print(f"zinclever: {wrong}", file=sys.stderr)
         return 1
--- a/zinclever/assembly.py
+++ b/zinclever/assembly.py
@@ -4,13 +4,13 @@
 
 import logging
 from collections.abc import Mapping
-from random import SystemRandom
 from typing import TYPE_CHECKING
 
 from .admin.figures import Levels, avoided, text
 from .admin.server import Page, Pages
 from .configuration.platform import Config
 from .core.descriptors import Descriptors
+from .core.host import Host
 from .core.ledger import EARLY, Ledger
 from .core.protocol import OnList, Source
 from .core.service import Service
@@ -32,13 +32,13 @@
 class Platform:
     """The platform's HTTP service, as its configuration words it."""
 
-    def __init__(self, config: Config, descriptors: Descriptors) -> None:
+    def __init__(self, config: Config, descriptors: Descriptors, host: Host) -> None:
         self.config, self.descriptors = config, descriptors
         balancer = Balancer(config.settings, config.seed)
         self.ledger = Ledger(
-            balancer, HttpWire(descriptors),
-            lambda on_list: Discovery(config.discovery, config.settings, config.zones, config.known, on_list),
-            descriptors,
+            balancer, HttpWire(descriptors, host),
+            lambda on_list: Discovery(config.discovery, config.settings, config.zones, config.known, on_list, host),
+            descriptors, host,
         )
         assert isinstance(self.ledger.source, Discovery)
         self.discovery = self.ledger.source
@@ -94,13 +94,13 @@
 class JsonRpc:
     """A JSON-RPC service, as the operator file words it."""
 
-    def __init__(self, told: JsonRpcService, seed: int, descriptors: Descriptors) -> None:
+    def __init__(self, told: JsonRpcService, seed: int, descriptors: Descriptors, host: Host) -> None:
         from .jsonrpc.front import Front as JsonRpcFront
         from .jsonrpc.wire import JsonRpcWire
 
-        self.told, self.seed = told, seed
-        self.wire = JsonRpcWire(told.rules.framing, told.proofs, descriptors)
-        self.ledger = Ledger(Balancer(told.settings, seed), self.wire, self.source, descriptors)
+        self.told, self.seed, self.host = told, seed, host
+        self.wire = JsonRpcWire(told.rules.framing, told.proofs, descriptors, host)
+        self.ledger = Ledger(Balancer(told.settings, seed), self.wire, self.source, descriptors, host)
         self.front = JsonRpcFront(self.ledger, told.rules)
         longest = max(c.deadline for c in told.settings.classes)
         self.service = Service(told.name, told.listen, self.ledger, self.front, (longest + EARLY) / 1000.0)
@@ -109,7 +109,7 @@
         told = self.told
         if told.discovery is None:
             return Fixed(told.endpoints, on_list)
-        return Discovery(told.discovery, told.settings, told.zones, {}, on_list)
+        return Discovery(told.discovery, told.settings, told.zones, {}, on_list, self.host)
 
     def adopt(self, told: JsonRpcService) -> None:
         """Put into service what differs from the file before, but for what a connection is made with."""
@@ -146,12 +146,12 @@
 class Assembly:
     """Every service of the process."""
 
-    def __init__(self, config: Config | None, operator: Operator | None) -> None:
+    def __init__(self, config: Config | None, operator: Operator | None, host: Host) -> None:
         self.descriptors = Descriptors(sockets(config, operator))
-        seed = config.seed if config is not None else SystemRandom().getrandbits(64)
-        self.platform = Platform(config, self.descriptors) if config is not None else None
+        seed = config.seed if config is not None else host.random().getrandbits(64)
+        self.platform = Platform(config, self.descriptors, host) if config is not None else None
         self.others = {
-            name: JsonRpc(told, seed + n, self.descriptors)
+            name: JsonRpc(told, seed + n, self.descriptors, host)
             for n, (name, told) in enumerate(told_services(operator).items(), 1)
         }
 
--- a/zinclever/configuration/load.py
+++ b/zinclever/configuration/load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -16,24 +16,27 @@
 
 PLATFORM, OPERATOR = "LB_CONFIG", "ZINCLEVER_OPERATOR"
 
+#: Gives the bytes of the file with that path, or raises Unreadable.
+Files = Callable[[str], bytes]
+
 
 class ConfigError(Exception):
     """The program can't start, or go on, with what it was told: one line."""
 
 
-def read(env: Mapping[str, str]) -> tuple[Config | None, Operator | None]:
+def read(env: Mapping[str, str], files: Files = read_file) -> tuple[Config | None, Operator | None]:
     """Both files. The platform's may be left out where there is an operator file.
 
     ConfigError names the file, the key, its line and the reason.
     """
     operator_path = env.get(OPERATOR)
-    config = read_platform(env) if env.get(PLATFORM) or not operator_path else None
+    config = read_platform(env, files) if env.get(PLATFORM) or not operator_path else None
     if not operator_path:
         return config, None
     # Loaded where it is needed: the platform's sidecar lives in little memory.
     from . import operator
 
-    data = read_bytes(OPERATOR, operator_path)
+    data = read_bytes(OPERATOR, operator_path, files)
     report = check_operator(data, {config.listen: f"{PLATFORM}: listen"} if config is not None else None)
     refuse_errors(OPERATOR, operator_path, data, report)
     told = operator.build(report.clean)
@@ -42,11 +45,11 @@
     return config, told
 
 
-def read_platform(env: Mapping[str, str]) -> Config:
+def read_platform(env: Mapping[str, str], files: Files) -> Config:
     path = env.get(PLATFORM)
     if not path:
         raise ConfigError(f"{PLATFORM} is not set: it names the configuration file")
-    data = read_bytes(PLATFORM, path)
+    data = read_bytes(PLATFORM, path, files)
     report = check_platform(data)
     # An address that the environment gives need not stand in the file.
     named: dict[Path, str | None] = {
@@ -62,9 +65,9 @@
         raise ConfigError(f"{PLATFORM}: {path}: {wrong}") from wrong
 
 
-def read_bytes(variable: str, path: str) -> bytes:
+def read_bytes(variable: str, path: str, files: Files) -> bytes:
     try:
-        return read_file(path)
+        return files(path)
     except Unreadable as wrong:
         raise ConfigError(f"{variable}: {wrong}") from wrong
 
--- a/zinclever/core/ledger.py
+++ b/zinclever/core/ledger.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from functools import partial
-from random import Random
 from types import MappingProxyType
 from typing import Any
 
@@ -17,6 +15,7 @@
 from ..policy import Balancer
 from .counts import Counts
 from .descriptors import Descriptors
+from .host import Host
 from .protocol import Ended, Entry, Exchange, Failed, Final, Incoming, OnList, Refused, Served, Source, Wire
 from .view import View
 
@@ -28,10 +27,11 @@
 NO_REPORT: Mapping[str, float] = MappingProxyType({})
 
 
-def make_clock() -> Callable[[], float]:
+def make_clock(host: Host) -> Callable[[], float]:
     """Unix time in ms, read once: from then on it moves as the monotonic clock does, never back."""
-    anchor = (time.time_ns() - time.monotonic_ns()) / 1e6
-    return lambda: time.monotonic_ns() / 1e6 + anchor
+    monotonic_ns = host.monotonic_ns
+    anchor = (host.time_ns() - monotonic_ns()) / 1e6
+    return lambda: monotonic_ns() / 1e6 + anchor
 
 
 class Attempt:
@@ -70,12 +70,12 @@
     """
 
     def __init__(self, balancer: Balancer, wire: Wire, source: Callable[[OnList], Source],
-                 descriptors: Descriptors) -> None:
+                 descriptors: Descriptors, host: Host) -> None:
         self.balancer, self.settings = balancer, balancer.settings
-        self.wire, self.descriptors = wire, descriptors
+        self.wire, self.descriptors, self.host = wire, descriptors, host
         self.loop = asyncio.get_running_loop()
-        self.clock = make_clock()
-        self.connections = Connections(Random())
+        self.clock = make_clock(host)
+        self.connections = Connections(host.random())
         self.view = self.make_view()
         self.configure_wire()
         self.requests: dict[str, Request] = {}
@@ -191,8 +191,9 @@
                     self.wire.forget(endpoint)
         of = len(self.view) if self.view is not None else 0
         news = i.MembershipNews(kind, [listed for listed, _ in entries], of)
-        for balancer in {r.balancer for r in self.requests.values()} - {self.balancer}:
-            self.feed(news, balancer)
+        for balancer in dict.fromkeys(r.balancer for r in self.requests.values()):
+            if balancer is not self.balancer:
+                self.feed(news, balancer)
         self.feed(news)
         for listed, _ in entries:
             if listed.phase == "draining":
--- a/zinclever/core/service.py
+++ b/zinclever/core/service.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from .ledger import Ledger
 from .protocol import Address
@@ -55,7 +54,7 @@
         """Learn of the endpoints; requests come once it listens."""
         self.ledger.start()
 
-    async def listen(self, inherited: socket.socket | None = None) -> None:
+    async def listen(self, inherited: Any = None) -> None:
         """Begin to take requests, from a socket that listens already where one is given. OSError where the address
         can't be had."""
         loop = asyncio.get_running_loop()
--- a/zinclever/discovery/catalog.py
+++ b/zinclever/discovery/catalog.py
@@ -6,12 +6,12 @@
 import logging
 import sys
 from collections.abc import Callable, Sequence
-from random import Random
 from typing import Any
 
 import orjson
 
 from .. import interface as i
+from ..core.host import Host
 from ..core.protocol import Address, Entry, OnList, read_address
 from ..fleet.limits import Calls
 from ..http1.connection import Broken, ClientConnection, Reply, dial
@@ -60,8 +60,8 @@
 class Call:
     """One call at a time on a connection of its own, kept for the next."""
 
-    def __init__(self, address: Address, timeout: float, on_news: Callable[[News], None]) -> None:
-        self.address, self.timeout, self.on_news = address, timeout / 1000.0, on_news
+    def __init__(self, host: Host, address: Address, timeout: float, on_news: Callable[[News], None]) -> None:
+        self.host, self.address, self.timeout, self.on_news = host, address, timeout / 1000.0, on_news
         self.loop = asyncio.get_running_loop()
         self.connection: ClientConnection | None = None
         self.task: asyncio.Task[None] | None = None
@@ -80,7 +80,7 @@
 
     async def connect(self, data: bytes) -> None:
         try:
-            connection = await dial(self.address, self.timeout, lambda c: None, self.lost, MOST_LIST)
+            connection = await dial(self.host, self.address, self.timeout, lambda c: None, self.lost, MOST_LIST)
         except OSError:
             self.task = None
             self.end(None)
@@ -128,8 +128,8 @@
     """Keeps up with the list, as far as the balancer asks for it."""
 
     def __init__(self, address: Address, settings: i.Settings, zones: Sequence[str], known: dict[str, Any],
-                 on_list: OnList) -> None:
-        self.on_list, self.known, self.rng = on_list, known, Random()
+                 on_list: OnList, host: Host) -> None:
+        self.on_list, self.known, self.host, self.rng = on_list, known, host, host.random()
         self.refusals = 0
         self.pause: asyncio.TimerHandle | None = None
         """Before the next call."""
@@ -152,8 +152,8 @@
 
     def connect(self, address: Address) -> None:
         self.address = address
-        self.watch_call = Call(address, self.connect_timeout, self.watched)
-        self.fetch_call = Call(address, self.connect_timeout, self.fetched)
+        self.watch_call = Call(self.host, address, self.connect_timeout, self.watched)
+        self.fetch_call = Call(self.host, address, self.connect_timeout, self.fetched)
 
     def move(self, address: Address) -> None:
         """Ask another service from now on: the whole list at once, as its versions are its own.
--- a/zinclever/handover/presence.py
+++ b/zinclever/handover/presence.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from ..core import host
 from ..core.protocol import Address
 
 LOOK = 0.1  # s between two looks: a newcomer waits for several before it takes clients
@@ -66,7 +67,7 @@
 class Overlap:
     """Looks time and again who else is there, and tells of each change."""
 
-    def __init__(self, presence: Presence, on_change: Callable[[int], None]) -> None:
+    def __init__(self, presence: host.Presence, on_change: Callable[[int], None]) -> None:
         self.presence, self.on_change = presence, on_change
         self.others = 0
         self.loop = asyncio.get_running_loop()
--- a/zinclever/http1/connection.py
+++ b/zinclever/http1/connection.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from ..core.host import Host, Socket
 from ..core.protocol import Address
 
 Headers = list[tuple[bytes, bytes]]
@@ -120,7 +121,7 @@
 
     __deletable__ = ("parser",)  # mypyc: it refers back
 
-    def __init__(self, sock: socket.socket, on_free: Callable[[ClientConnection], None],
+    def __init__(self, sock: Socket, on_free: Callable[[ClientConnection], None],
                  on_lost: Callable[[ClientConnection], None], most_body: int = MOST_BODY,
                  transfers: bool = False) -> None:
         """``most_body``: bytes that are held of an answer; with ``transfers`` a longer one is passed on."""
@@ -448,12 +449,12 @@
             self.complete = True
 
 
-async def dial(address: Address, timeout: float, on_free: Callable[[ClientConnection], None],
+async def dial(host: Host, address: Address, timeout: float, on_free: Callable[[ClientConnection], None],
                on_lost: Callable[[ClientConnection], None], most_body: int = MOST_BODY,
                transfers: bool = False) -> ClientConnection:
     """A new connection, within ``timeout`` seconds; OSError (time-outs are one) where there is none."""
     loop = asyncio.get_running_loop()
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    sock = host.socket()
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         async with asyncio.timeout(timeout):
--- a/zinclever/http1/front.py
+++ b/zinclever/http1/front.py
@@ -8,7 +8,6 @@
 import logging
 import math
 import re
-import select
 from collections import deque
 from typing import NamedTuple, cast
 
@@ -735,9 +734,7 @@
         """
         if self.started or self.ending:
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
-        if poll.poll(0):
+        if self.front.ledger.host.unread(self.transport.get_extra_info("socket")):
             return False
         self.close()
         return True
--- a/zinclever/http1/wire.py
+++ b/zinclever/http1/wire.py
@@ -9,6 +9,7 @@
 
 from .. import interface as i
 from ..core.descriptors import Descriptors
+from ..core.host import Host
 from ..core.pools import ExclusivePools
 from ..core.protocol import Ended
 from .bodies import Body
@@ -110,8 +111,8 @@
 class HttpWire(ExclusivePools[ClientConnection]):
     """Attempts on endpoints that speak HTTP/1.1, one at a time on a connection."""
 
-    def __init__(self, descriptors: Descriptors) -> None:
-        super().__init__(partial(dial, transfers=True), descriptors)
+    def __init__(self, descriptors: Descriptors, host: Host) -> None:
+        super().__init__(partial(dial, host, transfers=True), descriptors)
         self.dispatches = 0
         """Attempts whose last byte the kernel has had."""
 
--- a/zinclever/jsonrpc/connection.py
+++ b/zinclever/jsonrpc/connection.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from .. import interface as i
+from ..core.host import Host, Socket
 from ..core.protocol import Address, Ended
 from ..core.shared import Watcher
 from .codec import Noise, Response, read_response
@@ -104,7 +105,7 @@
     ``null``, ``noise``.
     """
 
-    def __init__(self, sock: socket.socket, framing: Framing, outcome: Callable[[Response], i.Outcome],
+    def __init__(self, sock: Socket, framing: Framing, outcome: Callable[[Response], i.Outcome],
                  watcher: Watcher[ClientConnection], counts: Counter[str]) -> None:
         self.sock, self.framing, self.outcome = sock, framing, outcome
         self.watcher, self.counts = watcher, counts
@@ -348,10 +349,10 @@
             self.finish()
 
 
-async def dial(address: Address, timeout: float, framing: Framing, outcome: Callable[[Response], i.Outcome],
+async def dial(host: Host, address: Address, timeout: float, framing: Framing, outcome: Callable[[Response], i.Outcome],
                watcher: Watcher[ClientConnection], counts: Counter[str]) -> ClientConnection:
     """A new connection, within ``timeout`` seconds; OSError (time-outs are one) where there is none."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    sock = host.socket()
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         async with asyncio.timeout(timeout):
--- a/zinclever/jsonrpc/front.py
+++ b/zinclever/jsonrpc/front.py
@@ -9,7 +9,6 @@
 import asyncio
 import itertools
 import logging
-import select
 from collections import Counter, deque
 from functools import partial
 from typing import cast
@@ -345,9 +344,7 @@
 
     def readable(self) -> bool:
         """Whether the kernel holds something that the loop has not read yet."""
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
-        return bool(poll.poll(0))
+        return self.front.ledger.host.unread(self.transport.get_extra_info("socket"))
 
     def drop(self) -> None:
         if not self.gone:
--- a/zinclever/jsonrpc/wire.py
+++ b/zinclever/jsonrpc/wire.py
@@ -6,6 +6,7 @@
 
 from .. import interface as i
 from ..core.descriptors import Descriptors
+from ..core.host import Host
 from ..core.protocol import Address, Ended
 from ..core.shared import SharedPools, Watcher
 from .codec import Response
@@ -16,15 +17,15 @@
 class JsonRpcWire(SharedPools[ClientConnection]):
     """Calls on endpoints, many on a connection."""
 
-    def __init__(self, framing: Framing, proofs: Proofs, descriptors: Descriptors) -> None:
+    def __init__(self, framing: Framing, proofs: Proofs, descriptors: Descriptors, host: Host) -> None:
         super().__init__(self.open, descriptors)
-        self.framing, self.proofs = framing, proofs
+        self.framing, self.proofs, self.host = framing, proofs, host
         self.counts: Counter[str] = Counter()
         """What endpoints sent that answered no pending call, by kind."""
 
     async def open(self, address: Address, timeout: float,
                    watcher: Watcher[ClientConnection]) -> ClientConnection:
-        return await dial(address, timeout, self.framing, self.outcome, watcher, self.counts)
+        return await dial(self.host, address, timeout, self.framing, self.outcome, watcher, self.counts)
 
     def outcome(self, response: Response) -> i.Outcome:
         """By what holds now: a reload changes it for connections that are open, too."""
