Move the stand-ins into the package, and let the audit tell sidecars apart

The simulator is part of the package and shares their log, faults and auditor. What is told of a drain holds for the sidecar that was told, where there are several; what a cold endpoint is sent may be counted in work.

--- a/benchmarks/instances.py
+++ b/benchmarks/instances.py
@@ -14,9 +14,9 @@
 from pathlib import Path
 from typing import Any
 
-from standins.many import Instance, World
 from zinclever import Balancer
 from zinclever import interface as i
+from zinclever.standins.many import Instance, World
 
 CAPS = i.Shares(
     subset=20, connections=400.0, handshakes_per_s=100.0, list_calls_per_s=400.0, busy=4, retry_ratio=0.2,
--- a/tests/rpc.py
+++ b/tests/rpc.py
@@ -10,13 +10,13 @@
 
 from loopback import Reaction, Scripted
 
-from standins import Log, Plan
-from standins.clients import JsonRpcClient, Klass
-from standins.jsonrpc_endpoint import DECLINED, JsonRpcEndpoint, read
 from zinclever.assembly import JsonRpc
 from zinclever.configuration.check import check_operator
 from zinclever.configuration.operator import build
 from zinclever.core.descriptors import Descriptors
+from zinclever.standins import Log, Plan
+from zinclever.standins.clients import JsonRpcClient, Klass
+from zinclever.standins.jsonrpc_endpoint import DECLINED, JsonRpcEndpoint, read
 from zinclever.system import System
 
 READ = Klass("read", "page.get", "idempotent", 6000.0)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from standins import Log, Terms, audit
-from standins.log import Answered, Asked, Effect, Left, Received, Started, Told
+from zinclever.standins import Log, Terms, audit
+from zinclever.standins.log import Answered, Asked, Effect, Left, Received, Started, Told
 
 TERMS = Terms(slack=10.0, drain_grace=1000.0, overload_for=2000.0)
 
--- a/tests/test_fault_day.py
+++ b/tests/test_fault_day.py
@@ -16,13 +16,13 @@
 from test_jsonrpc_program import started, write
 from test_program import config
 
-from standins import Log, Terms, audit, seeded
-from standins.clients import HttpClient, JsonRpcClient, Klass
-from standins.day import MOST_DELAY, SHARES, Day, ask_http, ask_jsonrpc, change
-from standins.discovery import Discovery
-from standins.endpoint import Endpoint
-from standins.http_endpoint import HttpEndpoint
-from standins.jsonrpc_endpoint import JsonRpcEndpoint
+from zinclever.standins import Log, Terms, audit, seeded
+from zinclever.standins.clients import HttpClient, JsonRpcClient, Klass
+from zinclever.standins.day import MOST_DELAY, SHARES, Day, ask_http, ask_jsonrpc, change
+from zinclever.standins.discovery import Discovery
+from zinclever.standins.endpoint import Endpoint
+from zinclever.standins.http_endpoint import HttpEndpoint
+from zinclever.standins.jsonrpc_endpoint import JsonRpcEndpoint
 
 SEEDS = [1, 2, 3]
 WAIT = 1200.0  # ms
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -11,12 +11,12 @@
 from loopback import PATIENCE, run
 from rpc import READ, TIP, UNLOCK, Setup, operator, service
 
-from standins import Fault, Log, Step, always, audit, in_turn
-from standins.clients import JsonRpcClient, Klass
-from standins.discovery import Discovery
-from standins.jsonrpc_endpoint import JsonRpcEndpoint
 from zinclever import interface as i
 from zinclever.jsonrpc import codec, front
+from zinclever.standins import Fault, Log, Step, always, audit, in_turn
+from zinclever.standins.clients import JsonRpcClient, Klass
+from zinclever.standins.discovery import Discovery
+from zinclever.standins.jsonrpc_endpoint import JsonRpcEndpoint
 
 ONE = b'{"jsonrpc":"2.0","method":"tip.send","id":1}'
 CLASSES = {0: "read", 1: "unlock", 2: "tip"}
--- a/tests/test_jsonrpc_program.py
+++ b/tests/test_jsonrpc_program.py
@@ -20,9 +20,9 @@
 from rpc import READ, TIP, operator
 from test_program import COMMAND, ROOT, config, connect
 
-from standins import Fault, Log, always, audit
-from standins.clients import REFUSED, JsonRpcClient
-from standins.jsonrpc_endpoint import JsonRpcEndpoint
+from zinclever.standins import Fault, Log, always, audit
+from zinclever.standins.clients import REFUSED, JsonRpcClient
+from zinclever.standins.jsonrpc_endpoint import JsonRpcEndpoint
 
 
 def write(tmp_path: Path, text: str) -> dict[str, str]:
--- a/tests/test_jsonrpc_wire.py
+++ b/tests/test_jsonrpc_wire.py
@@ -14,11 +14,11 @@
 from loopback import PATIENCE, SYSTEM, run
 from rpc import READ, TIP, Setup, result, service
 
-from standins import Fault, always, audit
 from zinclever import interface as i
 from zinclever.core import shared
 from zinclever.jsonrpc import codec, connection
 from zinclever.jsonrpc.connection import ClientConnection, Exchange, Payload, Proofs, dial
+from zinclever.standins import Fault, always, audit
 
 
 def to_hand(event: i.Event) -> Iterable[i.Action]:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from standins.many import Instance, World
 from zinclever import Balancer
 from zinclever import interface as i
+from zinclever.standins.many import Instance, World
 
 COUNT, SERVERS, SEED = 300, 60, 4
 SHARES = i.Shares(
--- a/tests/test_meaning.py
+++ b/tests/test_meaning.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from standins import Fault, Terms, audit
-from standins.simulation import Simulation
 from zinclever import Balancer
 from zinclever import interface as i
 from zinclever.configuration.check import check_operator
 from zinclever.configuration.operator import build
+from zinclever.standins import Fault, Terms, audit
+from zinclever.standins.simulation import Simulation
 
 CONFIGURATIONS = 300
 SHARES = {
--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -16,12 +16,12 @@
 import pytest
 from helpers import KEYED, LIMITS, RULES, SAFE, UNSAFE
 
-from standins import Fault
-from standins.simulation import Simulation
 from zinclever import Balancer, compile, native
 from zinclever import interface as i
 from zinclever.interface import Settings
 from zinclever.native import libraries
+from zinclever.standins import Fault
+from zinclever.standins.simulation import Simulation
 
 EVENTS = 100_000
 SHARES = {Fault.SILENCE: 0.05, Fault.BREAK_AT: 0.05, Fault.ERROR: 0.05, Fault.DECLINE: 0.05}
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -19,12 +19,12 @@
 from test_program import config
 from test_program import started as started_program
 
-from standins import audit
-from standins.clients import HttpClient
-from standins.day import ask_http
-from standins.http_endpoint import HttpEndpoint
 from zinclever import interface as i
 from zinclever.fleet.limits import ALIVE_FOR, BACK_OFF_EACH, CALM_FOR, LONGEST_WATCH, Bucket, Budget, Calls, Connections
+from zinclever.standins import audit
+from zinclever.standins.clients import HttpClient
+from zinclever.standins.day import ask_http
+from zinclever.standins.http_endpoint import HttpEndpoint
 
 CAPS = i.Shares(connections=400.0, handshakes_per_s=100.0, busy=4)
 GROUP, SERVERS, WIDTH = 20_000, 2000, 20
--- a/standins/day.py
+++ b/zinclever/standins/day.py
@@ -1,7 +1,7 @@
 """A day of faults, drawn from a seed: the same one for every protocol.
 
 Clients ask, endpoints go wrong, one of them drains, goes and comes back cold, and the configuration is read
-again in between. What happened is in the log; :func:`~standins.audit.audit` judges it.
+again in between. What happened is in the log; :func:`~zinclever.standins.audit.audit` judges it.
 """
 
 from __future__ import annotations
--- a/standins/log.py
+++ b/zinclever/standins/log.py
@@ -62,6 +62,10 @@
     """The endpoint has told, or will tell, that it was not."""
     made: str = ""
     """What the answer bears, so that the client's can be told from all others."""
+    via: str = ""
+    """The sidecar that sent it, where there are several."""
+    work: float = 1.0
+    """What it asks of the endpoint, in the unit of :attr:`Started.capacity`."""
 
 
 class Told(NamedTuple):
@@ -70,6 +74,8 @@
     at: float
     endpoint: str
     phase: Literal["ready", "draining", "gone"]
+    to: str = ""
+    """Which sidecar, where there are several."""
 
 
 class Started(NamedTuple):
@@ -78,7 +84,7 @@
     at: float
     endpoint: str
     capacity: float
-    """Requests a second when warm."""
+    """Requests a second when warm, or whatever :attr:`Received.work` counts."""
 
 
 def now() -> float:
