--- a/zinclever/http1/connection.py
+++ b/zinclever/http1/connection.py
@@ -138,6 +138,7 @@
         self.held: tuple[bytes, asyncio.TimerHandle] | None = None
         """The request's last byte, until it goes out."""
         self.unsent = self.lost = False
+        self.until_end = False  # here, too: a connection may end before its first request
         self.uploading = self.chunked = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- /dev/null
+++ b/zinclever/sim/days.py
@@ -0,0 +1,168 @@
+"""The kinds of days, each drawn from a seed: what goes wrong, when, for how long and for whom."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+from .model import PAGES, READER, Day, Trouble
+
+LOAD = 0.62  # of the fleet's capacity that is asked for where no rate is given
+SPARED = 0.15  # of the work, that key caches spare on an ordinary day
+
+Draw = Callable[[Random, float], Sequence[Trouble]]
+"""From a generator and the length of the day in s: its troubles."""
+
+
+def uniform(rng: Random, least: float, most: float) -> float:
+    """Rounded, so that a day reads well as a file."""
+    return round(rng.uniform(least, most), 2)
+
+
+def begin(rng: Random, seconds: float) -> float:
+    """When a trouble begins: early enough for its end to be seen."""
+    return uniform(rng, 0.15 * seconds, 0.3 * seconds)
+
+
+def calm(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Nothing goes wrong."""
+    return ()
+
+
+def silent(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Up to 17 % of the servers take requests and answer none for 7 to 23 s."""
+    return [Trouble("silent", begin(rng, seconds), uniform(rng, 7.2, 23.0), uniform(rng, 0.1, 0.17))]
+
+
+def late(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Load reports come 0.5 to 5 s later than usual."""
+    return [Trouble("late_reports", begin(rng, seconds), uniform(rng, 11.0, 26.0), factor=uniform(rng, 540.0, 5000.0))]
+
+
+def keys(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """One to three keys draw 4 to 25 % of all traffic."""
+    return [Trouble("hot_keys", begin(rng, seconds), uniform(rng, 5.3, 19.0), uniform(rng, 0.04, 0.25),
+                    count=rng.randint(1, 3))]
+
+
+def hot(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """One or a few sidecars carry 5 to 20 % of all traffic."""
+    return [Trouble("hot_sidecars", begin(rng, seconds), uniform(rng, 10.0, 24.0), uniform(rng, 0.05, 0.2),
+                    count=rng.randint(1, 3))]
+
+
+def single(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """One sidecar at 100 times the others."""
+    return [Trouble("hot_sidecars", begin(rng, seconds), 0.5 * seconds, count=1, factor=100.0)]
+
+
+def shrink(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Traffic falls and the fleet shrinks to 36 to 59 % of its size within 11 to 24 s."""
+    return [Trouble("shrink", begin(rng, seconds), uniform(rng, 11.0, 24.0), uniform(rng, 0.36, 0.59), factor=0.5)]
+
+
+def collapse(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """The fleet shrinks to 36 % within 11 s and grows again, while the traffic stays."""
+    at = begin(rng, seconds)
+    return [Trouble("shrink", at, 11.0, 0.36), Trouble("grow", at + 18.0, 6.0, count=-1)]
+
+
+def release(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Friday evening: a popular series has a new chapter."""
+    at, span = begin(rng, seconds), uniform(rng, 10.0, 20.0)
+    return [Trouble("spike", at, span, factor=uniform(rng, 1.5, 2.2)),
+            Trouble("hot_keys", at, span, uniform(rng, 0.1, 0.25), count=rng.randint(1, 3))]
+
+
+def update(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """An app update restarts every sidecar within a second."""
+    return [Trouble("restart", begin(rng, seconds), 1.0, 1.0)]
+
+
+def killed(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Every sidecar is killed without warning, within a second."""
+    return [Trouble("kill", begin(rng, seconds), 1.0, 1.0)]
+
+
+def rolling(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Sidecars are restarted one after another, and some are told to read their file again."""
+    return [Trouble("restart", 0.1 * seconds, 0.6 * seconds, 0.6), Trouble("reload", 0.1 * seconds, 0.6 * seconds, 0.4)]
+
+
+def datacentre(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """A data centre is lost, and comes back cold."""
+    return [Trouble("zone_lost", begin(rng, seconds), uniform(rng, 10.0, 16.0), zone=rng.choice(("rvk", "kef")))]
+
+
+def cut(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """The path between the data centres is cut while the list is late."""
+    at, span = begin(rng, seconds), uniform(rng, 6.0, 14.0)
+    return [Trouble("partition", at, span), Trouble("discovery_crowded", at, span, factor=0.3)]
+
+
+def waves(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Servers are replaced by new ones, a few at a time."""
+    return [Trouble("waves", begin(rng, seconds), 0.5 * seconds, 1.0, count=rng.randint(2, 4))]
+
+
+def herd(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """The whole fleet is replaced by cold servers within 9 s."""
+    return [Trouble("waves", begin(rng, seconds), 9.0, 1.0, count=rng.randint(3, 6))]
+
+
+def directory(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Discovery is down for a while, then crowded, while some servers go."""
+    at, span = begin(rng, seconds), uniform(rng, 8.0, 14.0)
+    return [Trouble("discovery_down", at, span), Trouble("vanish", at + 1.0, 20.0, 0.1),
+            Trouble("discovery_crowded", at + span, 10.0, factor=0.25)]
+
+
+def vanish(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Machines vanish without a word and come back cold."""
+    return [Trouble("vanish", begin(rng, seconds), uniform(rng, 6.0, 15.0), uniform(rng, 0.1, 0.25))]
+
+
+def faults(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Answers go wrong in every way that stand-ins know."""
+    return [Trouble("faults", begin(rng, seconds), uniform(rng, 10.0, 25.0), uniform(rng, 0.05, 0.15))]
+
+
+def soak(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """A long day on which servers are replaced and sidecars reload all the time."""
+    found: list[Trouble] = []
+    for at in range(30, max(31, round(seconds) - 60), 60):
+        found += [Trouble("waves", float(at), 20.0, 0.1, count=1), Trouble("reload", at + 25.0, 10.0, 0.1),
+                  Trouble("restart", at + 30.0, 10.0, 0.02)]
+    return found
+
+
+def mixed(rng: Random, seconds: float) -> Sequence[Trouble]:
+    """Two or three troubles at once."""
+    kinds = [silent, late, keys, hot, shrink, release, rolling, cut, waves, vanish, faults, directory, killed]
+    return [t for kind in rng.sample(kinds, rng.randint(2, 3)) for t in kind(rng, seconds)]
+
+
+KINDS: dict[str, Draw] = {
+    draw.__name__: draw for draw in (
+        calm, silent, late, keys, hot, single, shrink, collapse, release, update, killed, rolling, datacentre, cut,
+        waves, herd, directory, vanish, faults, soak, mixed,
+    )
+}
+
+
+def capacity(endpoints: int) -> float:
+    """Requests a second that so many warm page servers can do."""
+    speed = sum(k.share * (k.speed[0] + k.speed[1]) / 2 for k in PAGES.kinds) / sum(k.share for k in PAGES.kinds)
+    work = sum(k.share * k.work_ms for k in READER) / sum(k.share for k in READER) / 1000.0
+    return endpoints * speed / (work * (1.0 - SPARED))
+
+
+def draw(kind: str, seed: int, sidecars: int, endpoints: int, seconds: float, rate: float = 0.0) -> Day:
+    """A day of a kind. KeyError for a kind that there is not."""
+    rng = Random(f"{kind}/{seed}")
+    troubles = tuple(
+        t if t.count >= 0 else Trouble(t.kind, t.at_s, t.for_s, count=round(0.64 * endpoints))
+        for t in KINDS[kind](rng, seconds)
+    )
+    return Day(kind, seed, seconds, sidecars, endpoints, rate or round(LOAD * capacity(endpoints), 1), READER, PAGES,
+               troubles=troubles)
--- /dev/null
+++ b/zinclever/sim/sidecars.py
@@ -0,0 +1,120 @@
+"""Sidecars: the unchanged program, each in a process of its own on a simulated machine."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+import orjson
+
+from ..configuration.load import read
+from ..program import serve
+from ..simnet.host import Disk, SimulatedHost
+from ..simnet.loop import Cost, Loop
+from ..simnet.network import Machine
+
+if TYPE_CHECKING:
+    from .world import World
+
+PORT = 8080
+CONFIG = "/config.json"
+
+
+class Sidecar:
+    """One name and address; processes come and go."""
+
+    def __init__(self, world: World, machine: Machine, number: int) -> None:
+        self.world, self.machine, self.number = world, machine, number
+        self.name = machine.name
+        self.address = machine.address, PORT
+        self.disk = Disk()
+        self.loop: Loop | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.starts = 0
+        self.killed_at = -1.0
+        self.most_descriptors = 0
+        self.callbacks = 0
+        self.used = 0
+        """ns of its core, of processes that have ended."""
+
+    def start(self) -> None:
+        """A new process; the one before has ended or takes its leave."""
+        world = self.world
+        self.starts += 1
+        told = world.day.sidecar
+        cost = Cost(told.callback_us / 1e6, told.byte_ns / 1e9, told.core_share)
+        loop = Loop(self.machine, cost, told.sockets)
+        seed = f"{world.day.seed}/{self.name}/{self.starts}"
+        self.disk.files[CONFIG] = self.configuration(world.text_seed(seed))
+        host = SimulatedHost(loop, world.text_seed(seed + "/host"), {"LB_CONFIG": CONFIG}, self.disk)
+        self.loop = loop
+        self.task = loop.create_task(self.run(host))
+        self.task.add_done_callback(lambda task: self.ended(loop, task))
+
+    async def run(self, host: SimulatedHost) -> None:
+        """What ``python -m zinclever`` does."""
+        config, operator = read(host.environ, host.read_file)
+        await serve(config, operator, host)
+
+    def configuration(self, seed: int, **more: object) -> bytes:
+        world = self.world
+        listing = world.listing.machine.address
+        told: Mapping[str, object] = {
+            "name": self.name, "listen": f"{self.machine.address}:{PORT}", "discovery": f"{listing}:8500",
+            "seed": f"{seed:016x}",
+            "limits": {"cores": 1.0, "memory_mb": world.day.sidecar.memory_mb, "sockets": world.day.sidecar.sockets},
+            "known": world.listing.whole() if world.day.sidecar.known else {},
+            "settings": world.settings(self),
+        }
+        return orjson.dumps({**told, **more})
+
+    def ended(self, loop: Loop, task: asyncio.Task[None]) -> None:
+        """The process has ended by itself: in order, or because it failed."""
+        if task.cancelled() or task.exception() is not None:
+            said = task.exception() if not task.cancelled() else "cancelled"
+            self.world.counts.crashes.append(f"{self.name}: {said}")
+        self.bury(loop)
+
+    def bury(self, loop: Loop) -> None:
+        self.most_descriptors = max(self.most_descriptors, loop.descriptors.most)
+        self.callbacks += loop.callbacks
+        self.used += loop.used
+        loop.die()
+        if self.loop is loop:
+            self.loop = self.task = None
+
+    def descriptors(self) -> int:
+        """The most that were ever open at once in one process."""
+        return max(self.most_descriptors, self.loop.descriptors.most if self.loop is not None else 0)
+
+    # --- what is done to it ---
+
+    def kill(self) -> None:
+        """Without warning."""
+        self.killed_at = self.world.ms()
+        if self.loop is not None:
+            self.bury(self.loop)
+
+    def restart(self) -> None:
+        """A planned restart is over: what the old process still held is lost with it."""
+        if self.loop is not None:
+            self.world.counts.crashes.append(f"{self.name}: still there when it was to be restarted")
+            self.kill()
+        self.start()
+
+    def terminate(self) -> None:
+        """The platform asks it to end."""
+        if self.loop is not None:
+            self.loop.signal(signal.SIGTERM)
+
+    def reload(self, **more: object) -> None:
+        """Its file is written anew, and it is told."""
+        if self.loop is not None:
+            self.disk.files[CONFIG] = self.configuration(self.world.text_seed(f"{self.name}/reload"), **more)
+            self.loop.signal(signal.SIGHUP)
+
+    def killed_since(self, at: float) -> bool:
+        """Whether its process was killed at or after an instant, in ms."""
+        return self.killed_at >= at
