--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import json
 import os
 import signal
@@ -55,6 +56,28 @@
     assert sorted(p.name for p in tmp_path.iterdir()) == ["zinclever-127.0.0.1-12.5"]
 
 
+def test_a_newcomer_is_counted_whenever_others_look(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a newcomer whose file is opened between its making and its lock, and removed as a dead one's."""
+    me, newcomer = Presence(tmp_path, ("127.0.0.1", 1)), Presence(tmp_path, ("127.0.0.1", 1))
+    newcomer.path = newcomer.path.with_name(f"{newcomer.stem}1")  # as another process would name it
+    me.enter()
+    lock = fcntl.flock
+    looks: list[int] = []
+
+    def looked_at(descriptor: int, operation: int) -> None:
+        if operation & fcntl.LOCK_EX:
+            looks.append(me.others())
+        lock(descriptor, operation)
+
+    monkeypatch.setattr(fcntl, "flock", looked_at)
+    newcomer.enter()
+    assert looks == [0] and me.others() == newcomer.others() == 1
+    monkeypatch.undo()
+    for path in tmp_path.iterdir():  # a cleaner of such folders
+        path.unlink()
+    assert me.others() == 0 and newcomer.others() == 1 and me.others() == 1
+
+
 def test_changes_are_told(tmp_path: Path) -> None:
     async def test() -> None:
         told: asyncio.Queue[int] = asyncio.Queue()
--- a/zinclever/handover/presence.py
+++ b/zinclever/handover/presence.py
@@ -29,17 +29,34 @@
         self.descriptor: int | None = None
 
     def enter(self) -> None:
-        """Be seen by the others. OSError where the folder can't be written."""
+        """Be seen by the others. OSError where the folder can't be written.
+
+        The file is locked before it has its name: one that others could open between its making and its lock would be
+        taken for what a dead process left, and removed.
+        """
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW
-        self.descriptor = os.open(self.path, flags, 0o600)
-        fcntl.flock(self.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        unnamed = self.folder / f".{self.path.name}"
+        made = os.open(unnamed, flags, 0o600)
+        try:
+            fcntl.flock(made, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            os.rename(unnamed, self.path)
+        except OSError:
+            os.close(made)
+            raise
+        if self.descriptor is not None:
+            os.close(self.descriptor)
+        self.descriptor = made
 
     def others(self) -> int:
-        """The other processes that are alive; what a dead one left is removed."""
-        return sum(
-            entry.name.startswith(self.stem) and entry.name != self.path.name and self.alive(entry.path)
-            for entry in os.scandir(self.folder)
-        )
+        """The other processes that are alive; what a dead one left is removed.
+
+        Where this one's own file has been removed, by who cleans such folders, it is made again.
+        """
+        names = {entry.name for entry in os.scandir(self.folder) if entry.name.startswith(self.stem)}
+        if self.descriptor is not None and self.path.name not in names:
+            self.enter()
+        names.discard(self.path.name)
+        return sum(self.alive(str(self.folder / name)) for name in names)
 
     def alive(self, path: str) -> bool:
         try:
