--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -44,7 +44,7 @@
     balancer = Balancer(i.Settings(classes=[i.RequestClass(aim=100.0, deadline=500.0)]), 1)
     balancer.handle(0.0, i.MembershipNews("whole", [i.Listed("a"), i.Listed("b", "draining"), i.Listed("c")]))
     assert avoided(balancer, 1.0) == 1
-    balancer.endpoints["a"].down_until = 50.0
+    balancer.list.endpoints["a"].down_until = 50.0
     assert avoided(balancer, 49.0) == 2
     assert avoided(balancer, 51.0) == 1
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,7 +6,7 @@
 from helpers import LIMITS, SAFE, Sidecar, fleet, settings
 
 from zinclever import interface as i
-from zinclever import policy
+from zinclever.policy import overdue
 
 BUSY = replace(LIMITS, retry_after=True, max_retry_after=700.0)
 
@@ -15,7 +15,7 @@
     """A sidecar whose window is full of requests that no endpoint answers."""
     s = Sidecar(settings(told, **more), fleet(4))
     s.serve(60, took=20.0, gap=30.0)
-    while not s.b.held:
+    while not s.b.admission.held:
         s.ask()
     return s
 
@@ -50,9 +50,9 @@
     # Guards against starving a fleet that has turned slow (ic4351a).
     s = Sidecar(settings(), fleet(4))
     s.serve_many(60, 4, 50)
-    before = s.b.near.window
+    before = s.b.list.near.window
     s.serve_many(20, 4, 150)
-    assert s.b.near.window > 0.6 * before
+    assert s.b.list.near.window > 0.6 * before
 
 
 def test_newest_held_request_goes_first() -> None:
@@ -65,7 +65,7 @@
 
 
 def test_held_request_is_refused_while_a_retry_is_still_cheap(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(policy, "SILENT", 1.0)  # a crowd, not endpoints that swallow what they get
+    monkeypatch.setattr(overdue, "SILENT", 1.0)  # a crowd, not endpoints that swallow what they get
     s = full(limits=BUSY)
     held = [r.id for r in s.b.requests.values() if r.held]
     s.wait(SAFE.aim)
@@ -97,7 +97,7 @@
     dear = replace(SAFE, value=5.0)
     s = Sidecar(settings(dear, SAFE, tenants=tenants, over_share_worth=0.05), fleet(4))
     s.serve(60, took=20.0, gap=30.0)
-    while not s.b.held:
+    while not s.b.admission.held:
         s.ask(tenant=0)
     small, big = s.ask(1, tenant=1), s.ask(0, tenant=0)
     s.end(s.sends()[-1].request)
@@ -108,7 +108,7 @@
     # Guards against taking a full connection table for a dead endpoint.
     s = Sidecar(settings(), fleet(3))
     r = s.ask()
-    where = s.b.endpoints[s.sends(r)[0].endpoint]
+    where = s.b.list.endpoints[s.sends(r)[0].endpoint]
     s.end(r, 0, "connect_failed")
     assert where.down_until > s.now
     assert where.name not in {s.sends(s.ask())[0].endpoint for _ in range(9)}
@@ -118,13 +118,13 @@
     t.end(a)
     t.wait(10)
     t.end(b, 0, "connect_failed")
-    assert t.b.endpoints["e0"].down_until < t.now
+    assert t.b.list.endpoints["e0"].down_until < t.now
 
 
 def test_most_endpoints_down_ejects_none() -> None:
     # Guards against ejecting a whole fleet for a fault on this side.
     s = Sidecar(settings(), fleet(4))
-    for e in list(s.b.endpoints.values())[:3]:
+    for e in list(s.b.list.endpoints.values())[:3]:
         e.down_until = s.now + 10000
     got = {s.sends(s.ask())[0].endpoint for _ in range(10)}
     assert len(got) > 1
@@ -190,11 +190,11 @@
     names = [s.ask() for _ in range(30)]
     sends = [zone[s.sends(n)[0].endpoint] for n in names]
     assert sends == [0] * 20 + [1] * 10, "ten for each endpoint, shared by two balancers"
-    assert s.b.near.inflight == 20 and s.b.far.inflight == 10
+    assert s.b.list.near.inflight == 20 and s.b.list.far.inflight == 10
     s.wait(5)
     for n in names:
         s.end(n)
-    assert s.b.near.inflight == s.b.far.inflight == s.b.inflight == 0
+    assert s.b.list.near.inflight == s.b.list.far.inflight == s.b.list.inflight() == 0
 
 
 def test_timers_do_not_multiply() -> None:
--- a/tests/test_jsonrpc.py
+++ b/tests/test_jsonrpc.py
@@ -413,7 +413,7 @@
                     await asyncio.gather(*(c.call(READ) for _ in range(10)))
                 await discovery.set(one, "draining")
                 await discovery.until_told(one)
-                while any(e.phase == "ready" for e in s.made.ledger.balancer.endpoints.values()
+                while any(e.phase == "ready" for e in s.made.ledger.balancer.list.endpoints.values()
                           if e.name == one.name):
                     await asyncio.sleep(0.001)
                 before = len(one.requests())
--- a/tests/test_meaning.py
+++ b/tests/test_meaning.py
@@ -10,6 +10,8 @@
 from zinclever import interface as i
 from zinclever.configuration.check import check_operator
 from zinclever.configuration.operator import build
+from zinclever.policy.membership import Membership
+from zinclever.policy.requests import Request
 from zinclever.standins import Fault, Terms, audit
 from zinclever.standins.simulation import Simulation
 
@@ -89,15 +91,13 @@
     kept = Balancer.may_send
 
     def may_send(self: Balancer, now: float, r: object) -> bool:
-        from zinclever.policy import Request
-
         assert isinstance(r, Request)
         if r.klass.told.repeat == forgotten and not r.closed and not r.live:
             return len(r.attempts) < self.limits.max_attempts
         return kept(self, now, r)
 
     monkeypatch.setattr(Balancer, "may_send", may_send)
-    monkeypatch.setattr(Balancer, "same_group", lambda self, r, e: True)
+    monkeypatch.setattr(Membership, "same_group", lambda self, r, e: True)
     rng = Random(5)
     found: list[object] = []
     for seed in range(40):
--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -77,7 +77,8 @@
 
 REPLAY = """
 import pickle, sys
-from zinclever import interface, policy
+from zinclever import interface
+from zinclever.policy import balancer as policy
 assert policy.__file__.endswith(".so"), policy.__file__
 for seed, settings, events in pickle.load(sys.stdin.buffer):
     balancer = policy.Balancer(eval(settings, vars(interface)), seed)
--- a/tests/test_ordinary.py
+++ b/tests/test_ordinary.py
@@ -23,7 +23,7 @@
     assert len(s.sends(r)) == 1
     s.wait(30)
     s.end(r)
-    assert not s.finals(r) and not s.b.requests and s.b.inflight == 0
+    assert not s.finals(r) and not s.b.requests and s.b.list.inflight() == 0
 
 
 def test_draw_prefers_the_better_payoff() -> None:
@@ -93,7 +93,7 @@
     s.wait(400)
     assert len(s.sends(r)) == before and not s.finals(r)
     s.end(r, 0, "cancelled", complete=True)
-    assert s.b.inflight == 0 and not s.b.requests
+    assert s.b.list.inflight() == 0 and not s.b.requests
 
 
 def test_no_cancel_where_it_is_not_allowed() -> None:
@@ -132,7 +132,7 @@
 def test_copies_keep_to_their_budget() -> None:
     # Guards against copies that feed an overload: a fleet that answers nothing gets few of them.
     s = warmed(n=40)
-    s.b.near.window = 1e9
+    s.b.list.near.window = 1e9
     first = len(s.all)
     s.b.copy_tokens = 0.0
     for _ in range(40):
@@ -169,13 +169,13 @@
             s.end(r, n, "error")
         s.wait(10)
     assert bad <= 10
-    e = s.b.endpoints["e1"]
-    before = s.b.standing(s.now, e)
+    e = s.b.list.endpoints["e1"]
+    before = s.b.draws.standing(s.now, e)
     r = s.ask()
     while s.sends(r)[-1].endpoint != "e1":
         s.end(r, len(s.sends(r)) - 1, "full")
     s.end(r, len(s.sends(r)) - 1, "error")
-    assert s.b.standing(s.now, e) < before
+    assert s.b.draws.standing(s.now, e) < before
 
 
 def test_silent_endpoint_loses_standing_before_its_timeouts() -> None:
@@ -192,16 +192,16 @@
                 s.end(r, n)
     assert len(swallowed) <= 3
     t = warmed(n=1)
-    e = t.b.endpoints["e0"]
+    e = t.b.list.endpoints["e0"]
     t.ask()
-    before = t.b.standing(t.now, e)
+    before = t.b.draws.standing(t.now, e)
     t.wait(100)
-    assert t.b.standing(t.now, e) < before / 2
+    assert t.b.draws.standing(t.now, e) < before / 2
 
 
 def test_a_loser_cancelled_at_once_does_not_look_fast() -> None:
     s = warmed(n=3)
-    e = s.b.endpoints["e0"]
+    e = s.b.list.endpoints["e0"]
     r = s.ask()
     while s.sends(r)[-1].endpoint != "e0":
         s.wait(DELAY)
@@ -215,7 +215,7 @@
 def test_late_outcome_after_the_final_answer_teaches() -> None:
     s = warmed(n=3)
     r = s.ask()
-    where = s.b.endpoints[s.sends(r)[0].endpoint]
+    where = s.b.list.endpoints[s.sends(r)[0].endpoint]
     s.wait(DELAY + 5)
     s.end(r, 1)
     before = where.latency.weight
@@ -234,7 +234,7 @@
     r = s.ask()
     s.end(r)
     assert s.end(r) == []
-    assert s.b.inflight == 0
+    assert s.b.list.inflight() == 0
 
 
 def test_balancers_agree_on_the_endpoint_that_is_warm_for_a_key() -> None:
@@ -301,9 +301,9 @@
     listed = [i.Listed(f"e{x}", zone=x % 2) for x in range(8)]
     s = Sidecar(settings(prices=i.Prices(cross_zone=0.2), value_by="work"), listed)
     s.serve(60, took=20.0, gap=30.0)
-    while not s.b.held:
+    while not s.b.admission.held:
         s.ask(work=40.0)
-        if not s.b.near.room():
+        if not s.b.list.near.room():
             light = s.ask(work=1.0)
     heavy = s.ask(work=40.0)
     assert not s.sends(light)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -53,7 +53,7 @@
     q = held.ask()
     held.feed(i.RequestClosed(q))
     held.wait(600)
-    assert not held.finals(q) and held.b.held == 0
+    assert not held.finals(q) and held.b.admission.held == 0
 
 
 def test_impatient_client_behind_patient_ones_is_answered() -> None:
@@ -112,11 +112,11 @@
     s = Sidecar(settings(replace(KEYED, group="zone", window=60.0)), fleet(2))
     r = s.ask()
     s.wait(10)
-    s.b.near.window = 0.0
+    s.b.list.near.window = 0.0
     s.end(r, 0, "error")
-    assert s.b.held == 1
+    assert s.b.admission.held == 1
     s.wait(55)
-    s.b.near.window = 10.0
+    s.b.list.near.window = 10.0
     s.wait(20)
     assert len(s.sends(r)) == 1 and s.finals(r) == [i.Fail(r)]
 
@@ -348,9 +348,9 @@
 def test_restart_forgets_what_the_old_process_taught() -> None:
     s = Sidecar(settings(), fleet(2))
     s.serve_many(10, 2, 40.0)
-    assert s.b.endpoints["e0"].good.weight > 0
+    assert s.b.list.endpoints["e0"].good.weight > 0
     s.feed(i.MembershipNews("changes", [i.Listed("e0", started_at=s.now)]))
-    assert s.b.endpoints["e0"].good.weight == 0
+    assert s.b.list.endpoints["e0"].good.weight == 0
 
 
 # --- settings ---
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,8 +13,9 @@
 from helpers import KEYED, SAFE, Sidecar, fleet, settings
 
 from zinclever import interface as i
-from zinclever import policy
-from zinclever.policy import Endpoint, Side
+from zinclever.policy.endpoints import Endpoint
+from zinclever.policy.requests import Request
+from zinclever.policy.sides import Side
 
 
 class Counted(list[Endpoint]):
@@ -33,9 +34,9 @@
 
 def watched(s: Sidecar) -> None:
     Counted.touched = 0
-    for side in (s.b.near, s.b.far):
+    for side in (s.b.list.near, s.b.list.far):
         side.ready, side.up = Counted(side.ready), Counted(side.up)
-    s.b.ready = Counted(s.b.ready)
+    s.b.list.ready = Counted(s.b.list.ready)
 
 
 @pytest.mark.parametrize("size", [100, 1000, 10_000])
@@ -62,19 +63,19 @@
     sizes = [rng.choice([0.5, 1.0, 2.0, 8.0]) for _ in range(40)]
     s = Sidecar(settings(SAFE), weights(sizes))
     b, now = s.b, s.now
-    down = [b.endpoints[f"e{n}"] for n in range(0, 40, 4)]
+    down = [b.list.endpoints[f"e{n}"] for n in range(0, 40, 4)]
     for e in down:
         e.down_until = now + 1e6
-        b.near.fell(now, e)
-    r = policy.Request(i.RequestArrived("x", 0, now + 500.0), b.classes[0], b.tenants[0], now)
+        b.list.near.fell(now, e)
+    r = Request(i.RequestArrived("x", 0, now + 500.0), b.classes[0], b.tenants[0], now)
     drawn: dict[str, Counter[str]] = {"sampled": Counter(), "looked through": Counter()}
     failed = 0
     for _ in range(20_000):
-        sampled = b.sample_two(now, r, b.near, 40)
+        sampled = b.draws.sample_two(now, r, b.list.near, 40)
         if sampled is None:  # too few tries: the side is looked through then
             failed += 1
             continue
-        looked = b.choose_two(now, r, b.fit(now, r, b.near.ready))
+        looked = b.draws.choose_two(now, r, b.draws.fit(now, r, b.list.near.ready))
         assert looked is not None
         for name, pair in (("sampled", sampled), ("looked through", looked)):
             assert pair[0] is not pair[1]
@@ -88,12 +89,12 @@
 
 def test_all_down_but_one_is_found() -> None:
     s = Sidecar(settings(), fleet(2000))
-    for n, e in enumerate(list(s.b.endpoints.values())):
+    for n, e in enumerate(list(s.b.list.endpoints.values())):
         if n != 77:
             e.down_until = s.now + 1e6
-            s.b.near.fell(s.now, e)
-    assert s.b.near.mostly_down(s.now)
-    s.b.near.one(s.b.rng, 2000)
+            s.b.list.near.fell(s.now, e)
+    assert s.b.list.near.mostly_down(s.now)
+    s.b.list.near.one(s.b.rng, 2000)
     watched(s)
     # Where most looks down everything is tried; the one that doesn't is among the two of each draw.
     for n in range(20):
@@ -107,10 +108,10 @@
 def test_all_cold_and_full_is_no_walk() -> None:
     """10,000 endpoints that have just started: requests are held and looked for again without a walk."""
     s = Sidecar(settings(group_size=1), fleet(10_000, started_at=1_000_000.0))
-    s.b.warm_rate = 1e-9
-    for e in s.b.endpoints.values():
+    s.b.cold.warm_rate = 1e-9
+    for e in s.b.list.endpoints.values():
         e.tokens = 0.0
-    s.b.near.one(s.b.rng, 10_000)
+    s.b.list.near.one(s.b.rng, 10_000)
     watched(s)
     for _ in range(20):
         s.ask()
@@ -122,8 +123,8 @@
 
 def test_one_of_ten_thousand_cold_ones_with_room_is_soon_found() -> None:
     s = Sidecar(settings(group_size=1), fleet(10_000, started_at=1_000_000.0))
-    s.b.warm_rate = 1e-9
-    for n, e in enumerate(s.b.near.ready):
+    s.b.cold.warm_rate = 1e-9
+    for n, e in enumerate(s.b.list.near.ready):
         e.tokens = 1.0 if n % 50 == 7 else 0.0
     r = s.ask()
     s.wait(100.0)
@@ -232,7 +233,7 @@
 def test_keepers_are_even_by_size_and_a_change_moves_few_keys() -> None:
     sizes = [2.0 if n % 4 == 0 else 1.0 for n in range(200)]
     s = Sidecar(settings(), weights(sizes))
-    side = s.b.near
+    side = s.b.list.near
     before = keepers(side, 40_000)
     counts = Counter(before)
     large, small = ([counts[f"e{n}"] for n in range(200) if (n % 4 == 0) is big] for big in (True, False))
@@ -244,14 +245,16 @@
     s.feed(i.MembershipNews("changes", [i.Listed("e7", size=sizes[7])]))
     assert keepers(side, 40_000) == before
     other = Sidecar(settings(), weights(sizes)[::-1], seed=9)  # another balancer, told in another order
-    assert keepers(other.b.near, 40_000) == before
+    assert keepers(other.b.list.near, 40_000) == before
 
 
 def test_a_keeper_of_a_large_fleet_is_no_walk() -> None:
     s = Sidecar(settings(warm_keys=True), fleet(10_000))
     s.ask(key="a")
     watched(s)
-    s.b.near.ring = Counted(s.b.near.ring)
+    ring = s.b.list.near.ring
+    assert ring is not None
+    ring.owners = Counted(ring.owners)
     for n in range(50):
         s.end(s.ask(key=f"k{n}"))
         s.wait(1.0)
@@ -260,7 +263,7 @@
 
 def test_down_marks_end_by_time_without_a_walk() -> None:
     s = Sidecar(settings(), fleet(100))
-    side, now = s.b.near, s.now
+    side, now = s.b.list.near, s.now
     for n, e in enumerate(side.ready[:80]):
         e.down_until = now + 10.0 * n
         side.fell(now, e)
@@ -274,7 +277,7 @@
     """Guards against memory that grows with each failure."""
     side, now = Side(), 0.0
     s = Sidecar(settings(), fleet(3))
-    side.take(now, s.b.near.ready, 0.0)
+    side.take(now, s.b.list.near.ready, 0.0)
     for n in range(10_000):
         now = float(n)
         e = side.ready[n % 3]
@@ -320,7 +323,7 @@
         s.feed(i.AttemptEnded(r, 0, "", "connect_failed", 1.0, False))
     again = [a for _, a in s.all[before:] if isinstance(a, i.Send)]
     assert again and all(a.endpoint.startswith("new") for a in again)
-    assert len(s.b.endpoints) <= 10_020
+    assert len(s.b.list.endpoints) <= 10_020
 
 
 @pytest.mark.parametrize("seed", range(8))
@@ -334,22 +337,22 @@
         x = i.Listed(f"e{rng.randrange(80)}", rng.choice(phases), size=rng.choice([1.0, 2.0]), zone=rng.randrange(2),
                      started_at=rng.choice([0.0, 0.0, s.now - 500.0]))
         if rng.random() < 0.3:
-            name = rng.choice(sorted(s.b.endpoints))
+            name = rng.choice(sorted(s.b.list.endpoints))
             out = rng.randrange(2)
             for b in (s.b, oracle.b):
-                b.endpoints[name].inflight = out
-        for b in (s.b, oracle.b):
-            b.rng = Random(rng.random() if b is s.b else 0.0)
+                b.list.endpoints[name].inflight = out
+        s.b.rng.seed(rng.random())
         oracle.b.rng.setstate(s.b.rng.getstate())
         s.b.on_membership(s.now, i.MembershipNews("changes", [x]))
-        oracle.b.relist(oracle.now, i.MembershipNews("changes", [x]))
-        for mine, theirs in ((s.b.ready, oracle.b.ready), (s.b.near.ready, oracle.b.near.ready),
-                             (s.b.far.ready, oracle.b.far.ready)):
+        oracle.b.list.relist(oracle.now, i.MembershipNews("changes", [x]))
+        for mine, theirs in ((s.b.list.ready, oracle.b.list.ready), (s.b.list.near.ready, oracle.b.list.near.ready),
+                             (s.b.list.far.ready, oracle.b.list.far.ready)):
             assert [(e.name, e.zone, e.size) for e in mine] == [(e.name, e.zone, e.size) for e in theirs]
-        assert {n: e.phase for n, e in s.b.endpoints.items()} == {n: e.phase for n, e in oracle.b.endpoints.items()}
-        for side in (s.b.near, s.b.far):
+        mine_now, same = ({n: e.phase for n, e in x.b.list.endpoints.items()} for x in (s, oracle))
+        assert mine_now == same
+        for side in (s.b.list.near, s.b.list.far):
             assert sorted(e.rank for e in side.up) == [e.rank for e in side.ready if e not in side.down.members]
-            assert [e for e in side.ready if e.size] == [e for e in side.ready if e.near is (side is s.b.near)]
+            assert [e for e in side.ready if e.size] == [e for e in side.ready if e.near is (side is s.b.list.near)]
             if side.ready:
                 side.one(s.b.rng, len(side.ready))
                 assert side.sums[-1] == pytest.approx(sum(e.size for e in side.ready))
@@ -362,5 +365,5 @@
         if n % 50 == 0:
             s.ask()
             s.wait(1.0)
-    assert {e.name for e in s.b.ready} == {f"new{n}" for n in range(2000)}
-    assert len(s.b.endpoints) <= 2000 + 40
+    assert {e.name for e in s.b.list.ready} == {f"new{n}" for n in range(2000)}
+    assert len(s.b.list.endpoints) <= 2000 + 40
--- a/tests/test_swallowed.py
+++ b/tests/test_swallowed.py
@@ -155,7 +155,7 @@
                 assert await ask("tip", f"early{n}") == await ask("unlock", f"first{n}") == 200
             tips: list[asyncio.Task[int]] = []
             again = 0.0
-            while not balancer.swallowing(clock(), balancer.classes[1]):
+            while not balancer.overdue.swallowing(clock(), balancer.classes[1]):
                 if clock() >= again:  # what a stalled machine let wear off is brought back by more of them
                     again = clock() + 3000.0
                     names = [f"tip{len(tips) + n}" for n in range(12)]
@@ -190,13 +190,13 @@
 def test_overdue_attempts_leave_their_place_to_others() -> None:
     """Guards against a window full of what will never be answered."""
     s = silent(60)
-    assert s.b.near.overdue > 0 and s.b.near.inflight > s.b.near.window
+    assert s.b.list.near.overdue > 0 and s.b.list.near.inflight > s.b.list.near.window
 
 
 def test_a_single_overdue_attempt_is_left_alone() -> None:
     """Guards against beginning slow requests anew where nothing is swallowed."""
     s = silent(1, KEYED)
-    assert not s.of(i.Cancel) and s.b.near.overdue == 0
+    assert not s.of(i.Cancel) and s.b.list.near.overdue == 0
 
 
 def test_nothing_is_handed_over_in_a_crowd_with_no_time_left_or_outside_the_rules() -> None:
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -19,12 +19,12 @@
     send, = s.sends("up")
     s.wait(5000.0)
     assert s.sends("up") == [send] and not s.of(i.Cancel) and not s.finals("up")
-    assert s.b.inflight == 0 and s.b.endpoints[send.endpoint].silence(s.now) == 0.0
+    assert s.b.list.inflight() == 0 and s.b.list.endpoints[send.endpoint].silence(s.now) == 0.0
     s.feed(i.UploadEnded("up", s.now + 500.0))
-    assert s.b.inflight == 1 and s.sends("up") == [send]
+    assert s.b.list.inflight() == 1 and s.sends("up") == [send]
     s.wait(50.0)
     s.feed(i.AttemptEnded("up", 0, send.endpoint, "served", 50.0, True))
-    assert s.b.inflight == 0 and "up" not in s.b.requests
+    assert s.b.list.inflight() == 0 and "up" not in s.b.requests
 
 
 def test_a_safe_one_gets_its_copy_after_its_end() -> None:
@@ -63,7 +63,7 @@
     s.feed(i.RequestClosed("up"))
     assert s.of(i.Cancel) == [i.Cancel("up", 0)]
     s.feed(i.AttemptEnded("up", 0, s.sends("up")[0].endpoint, "not_sent", 0.0, True))
-    assert s.b.inflight == 0 and not s.b.requests and all(e.inflight == 0 for e in s.b.endpoints.values())
+    assert s.b.list.inflight() == 0 and not s.b.requests and all(e.inflight == 0 for e in s.b.list.endpoints.values())
     s.feed(i.UploadEnded("up", s.now + 500.0))
     assert len(s.sends("up")) == 1
 
--- /dev/null
+++ b/zinclever/policy/cold.py
@@ -0,0 +1,72 @@
+"""Cold endpoints: each balancer sends them a part that adds up to what they can do."""
+
+from __future__ import annotations
+
+import itertools
+
+from .. import interface as i
+from ..fleet.smooth import MEMORY, NEVER, Smooth
+from .endpoints import Endpoint
+from .membership import Membership
+
+MEASURED = 256  # warm endpoints by whose answers the cold ones are measured at the most
+HOLD_STEP = 10.0  # ms between two looks at the held requests
+
+
+class Cold:
+    """How much of its capacity a cold endpoint may be sent by this balancer."""
+
+    def __init__(self, settings: i.Settings, members: Membership) -> None:
+        self.rules, self.list = settings.rules, members
+        self.demand = Smooth(MEMORY)
+        self.warm_rate = 0.0  # answers a millisecond and size of a warm endpoint
+        self.warm_at = -NEVER
+
+    def cold(self, now: float, e: Endpoint) -> bool:
+        # A start at 0 is long past: guards against a clock near 0, by which all would be cold.
+        return e.started_at != 0.0 and e.started_at + self.rules.cold_for > now
+
+    def ramp(self, now: float, e: Endpoint) -> float:
+        """Share of its capacity that a cold endpoint has at least."""
+        age = max(0.0, now - e.started_at)
+        return self.rules.cold_share + (1.0 - self.rules.cold_share) * age / self.rules.cold_for
+
+    def warm_enough(self, now: float, e: Endpoint) -> bool:
+        """A cold endpoint gets its ramp's share of what a warm one of its size answers to this balancer.
+
+        Answers, not sends: guards against a crowd whose many attempts would set the measure. What is saved
+        up starts at a random part of one send, as one each from hundreds of balancers is a burst.
+        """
+        if not self.cold(now, e):
+            return True
+        if now - self.warm_at > HOLD_STEP:
+            self.measure_warm(now)
+        rate = self.ramp(now, e) * e.size * self.warm_rate
+        burst = max(1.0, rate * self.rules.overload_for / 8)
+        e.tokens = min(burst, e.tokens + rate * (now - e.tokens_at))
+        e.tokens_at = now
+        return e.tokens >= 1.0
+
+    def measure_warm(self, now: float) -> None:
+        """Answers of the warm endpoints in use, by size. Where few are warm the last figure stands.
+
+        A zone that is all cold is measured by the others: guards against taking the demand for what it can
+        do, when it comes back from an outage to clients that repeat all they ask.
+        """
+        self.warm_at = now
+        enough = int(min(self.list.enough(), MEASURED))
+        rates: list[float] = []
+        for side in (self.list.near, self.list.far):
+            if 3 * side.warm(now) >= len(side.ready) > 0:
+                warm = list(itertools.islice((e for e in side.ready if not self.cold(now, e)), enough))
+                served = sum((e.served.rate(now) for e in warm), 0.0)
+                rates.append(served / sum((e.size for e in warm), 0.0))
+        if rates:
+            self.warm_rate = max(rates)
+        elif self.list.ready and self.warm_rate == 0.0:  # all is cold: it starts with an even part of the demand
+            self.warm_rate = self.demand.rate(now) / sum((e.size for e in self.list.ready[:enough]), 0.0)
+
+    def sent(self, now: float, e: Endpoint) -> None:
+        """One more goes there."""
+        if self.cold(now, e):
+            e.tokens -= 1.0
--- /dev/null
+++ b/zinclever/policy/crossing.py
@@ -0,0 +1,58 @@
+"""What answers leave of their aim at home and away: when to cross, and when to hold back."""
+
+from __future__ import annotations
+
+import random
+
+from .. import interface as i
+from ..fleet.smooth import MEMORY, Smooth
+from .requests import BASE_SHARE, Request
+
+SPILL_STEP = 0.25  # of the price: gain in aims from which on some leave the zone; it also relieves who stay
+RETURN = 0.3  # answers that it takes to outweigh the guess that home is as good as the other zones
+EASE = 0.5  # share of the aim that answers leave on average, below which some are held; all at half
+SURE = 3.0  # attempts that tell nothing yet, and that it takes to outweigh what is usual
+SHED_MOST = 0.95  # share of the demand held back at the most: the rest tells when the crowd has gone
+
+
+class Crossing:
+    """What the home zone and the others leave of the aim, and which requests are worth a crossing."""
+
+    def __init__(self, settings: i.Settings, rng: random.Random) -> None:
+        self.settings, self.rng = settings, rng
+        self.home, self.away = Smooth(2 * MEMORY), Smooth(2 * MEMORY)  # share of the aim that answers left
+        self.asked = Smooth(2 * MEMORY)  # worth of a request
+
+    def gives(self, r: Request) -> float:
+        """What an answer in time to this request is worth."""
+        return r.klass.told.value * ((r.work or r.klass.mean) if self.settings.value_by == "work" else 1.0)
+
+    def weighs(self, now: float, r: Request) -> float:
+        """What an answer to this request is worth, over the usual."""
+        return self.gives(r) / self.asked.mean(now, self.gives(r), 1.0)
+
+    def spills(self, now: float, r: Request) -> bool:
+        """Whether an attempt leaves the zone: the likelier the further home falls behind and the more the
+        request is worth, as crossing costs the same for all.
+
+        Guards against a home zone with more traffic than its endpoints can carry, and against one that is
+        left by all, stands idle and is not heard of again: what is worth little stays.
+        """
+        step = SPILL_STEP * self.settings.prices.cross_zone
+        away = self.away.mean(now, 1.0 - BASE_SHARE, 1.0)
+        gain = away - self.home.mean(now, away, RETURN)  # a home not heard of lately is given another chance
+        gain *= self.weighs(now, r)
+        return gain > step and gain > step * (1.0 + self.rng.random())
+
+    def shed(self, now: float) -> float:
+        """Share of the demand that is held back, least worth first, as answers leave little of their aim.
+
+        Guards against a crowd that no window shows: hundreds of balancers with one or two requests each.
+        """
+        near, far = self.home.kept(now), self.away.kept(now)
+        weight = self.home.weight * near + self.away.weight * far
+        if weight <= SURE:
+            return 0.0
+        total = self.home.total * near + self.away.total * far
+        ease = (total + SURE * (1.0 - BASE_SHARE)) / (weight + SURE)
+        return min(SHED_MOST, max(0.0, 2.0 - 2.0 * ease / EASE))
--- a/zinclever/standins/many.py
+++ b/zinclever/standins/many.py
@@ -286,8 +286,8 @@
         changes = [x for c in self.world.discovery.changes[self.version : version] for x in c]
         self.version = version
         self.hear("changes", changes)
-        wait = self.balancer.calls.watch_for(20_000.0)
-        pause = self.balancer.calls.gap() if changes and self.balancer.calls.span else 0.0
+        wait = self.balancer.list.calls.watch_for(20_000.0)
+        pause = self.balancer.list.calls.gap() if changes and self.balancer.list.calls.span else 0.0
         self.world.at(self.world.now + pause, self.watch_again, self.call_number, wait)
 
     def watch_again(self, number: int, wait: float) -> None:
