--- a/zinclever/sim/figures.py
+++ b/zinclever/sim/figures.py
@@ -7,12 +7,17 @@
 from typing import TYPE_CHECKING, Any
 
 from ..simnet.scheduler import NS
+from .days import SPARED
 
 if TYPE_CHECKING:
     from .applications import Story
     from .world import World
 
 WINDOW = 10  # s: the worst stretch of a day is looked for in windows of so long
+BEFORE = 4  # s of a day, from the first that counts, before any trouble begins
+RETURNED = 0.9  # of the capacity before: it has returned
+BACK = 0.95  # of the service before: it is back
+STEADY = 3  # s for which it has to be
 FIRST = 1  # s of a day that don't count: nobody has learnt anything yet
 
 
@@ -59,12 +64,24 @@
         self.worth: dict[tuple[int, str], float] = {}
         self.worth_in_time: dict[tuple[int, str], float] = {}
         self.first_tries = self.served = 0
+        self.capacity: Counter[int] = Counter()
+        """By second: work in ns that the servers could do which are there, cold ones at what they can."""
+        self.work: Counter[tuple[int, str]] = Counter()
+        """By second and class: work in ns that was asked for."""
+
+    def sample(self) -> None:
+        """Once a second of the day: what the servers can do."""
+        second = self.world.day_second(self.world.now())
+        self.capacity[second] = round(sum(s.core.rate() for s in self.world.servers.values() if s.serves()) * NS)
+        if not self.world.over:
+            self.world.scheduler.after(NS, self.sample)
 
     def began(self, story: Story) -> None:
         key = self.world.day_second(story.began), story.kind.name
         self.first_tries += 1
         self.asked[key] += 1
         self.worth[key] = self.worth.get(key, 0.0) + story.kind.worth * story.work
+        self.work[key] += round(story.work * NS)
 
     def ended(self, story: Story, served: bool) -> None:
         self.served += served
@@ -79,6 +96,38 @@
         whole = sum(self.worth[k] for k in keys)
         return sum(self.worth_in_time.get(k, 0.0) for k in keys) / whole if whole else 1.0
 
+    def bound(self, first: int, last: int) -> float:
+        """The most of the worth that any balancer could have had answered: each second's capacity goes to what is worth
+        most for its work. An estimate: key caches spare what they do on an ordinary day, and nothing is put off."""
+        kinds = sorted(self.world.day.classes, key=lambda k: -k.worth)
+        asked = got = 0.0
+        for second in range(first, last):
+            left = self.capacity[second] / (1.0 - SPARED)
+            for kind in kinds:
+                work = self.work[second, kind.name]
+                done = min(left, work)
+                left -= done
+                asked += kind.worth * work
+                got += kind.worth * done
+        return got / asked if asked else 1.0
+
+    def recovered(self, seconds: int) -> int:
+        """s from the return of capacity until service is back at 0.95 of what it was before.
+
+        Capacity is back after the last second in which it was under 0.9 of its mean at first. 0 where it never went, -1
+        where service isn't back by the end of the day.
+        """
+        before = [self.capacity[s] for s in range(FIRST, FIRST + BEFORE)]
+        usual = sum(before) / len(before)
+        low = [s for s in range(FIRST, seconds) if self.capacity[s] < RETURNED * usual]
+        if not low:
+            return 0
+        wanted = BACK * self.share(FIRST, FIRST + BEFORE)
+        for second in range(low[-1] + 1, seconds - STEADY + 1):
+            if self.share(second, second + STEADY) >= wanted:
+                return second - low[-1] - 1
+        return -1
+
     def counted(self, seconds: int) -> float:
         """Of the requests, from the first second on, those answered in time."""
         asked = sum(count for (second, _), count in self.asked.items() if FIRST <= second < seconds)
@@ -111,6 +160,8 @@
         "worth_in_time": round(worth, 4),
         "worst_10s": round(worst, 4),
         "by_class": by_class,
+        "bound": round(figures.bound(FIRST, seconds), 4),
+        "recovered_s": figures.recovered(seconds),
         "goal": round(0.6 * worth + 0.2 * worst + 0.2 * min(by_class.values()), 4),
         "answers": dict(sorted(counts.answers.items())),
         "tries": len(world.log.asked),
--- a/zinclever/sim/pages.py
+++ b/zinclever/sim/pages.py
@@ -75,6 +75,10 @@
         self.world.counts.handshake(self.name)
         return "yes" if len(self.connections) < self.world.day.servers.connections else "silent"
 
+    def serves(self) -> bool:
+        """Whether what it can do is of use to anybody."""
+        return not self.loop.dead and self.machine.up and not self.silent
+
     # --- its life ---
 
     def end(self) -> None:
