Take a zone that was out and is back for cold before the list says so

An instance that found no way to a zone while another answered now takes all of it that it has not heard of since for cold at its return; three quick answers end that.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -50,9 +50,9 @@
     # Guards against starving a fleet that has turned slow (ic4351a).
     s = Sidecar(settings(), fleet(4))
     s.serve_many(60, 4, 50)
-    before = s.b.list.near.window
+    before = s.b.list.near.window.size
     s.serve_many(20, 4, 150)
-    assert s.b.list.near.window > 0.6 * before
+    assert s.b.list.near.window.size > 0.6 * before
 
 
 def test_newest_held_request_goes_first() -> None:
--- a/tests/test_ordinary.py
+++ b/tests/test_ordinary.py
@@ -132,7 +132,7 @@
 def test_copies_keep_to_their_budget() -> None:
     # Guards against copies that feed an overload: a fleet that answers nothing gets few of them.
     s = warmed(n=40)
-    s.b.list.near.window = 1e9
+    s.b.list.near.window.size = 1e9
     first = len(s.all)
     s.b.copy_tokens = 0.0
     for _ in range(40):
--- /dev/null
+++ b/tests/test_returns.py
@@ -0,0 +1,105 @@
+"""A zone that was out and is back: taken for cold before any list says so, and only with good reason."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from helpers import RULES, Sidecar, fleet, settings
+
+from zinclever import interface as i
+from zinclever.fleet.returns import AS_USUAL, JUDGED, OUT_AFTER, OUT_FOR, Returns
+
+ZONES = [i.Listed(f"e{n}", zone=n % 2, started_at=1.0) for n in range(12)]
+
+
+def answer_from(s: Sidecar, zones: set[int], span: float, slow: float = 1.0) -> dict[str, list[float]]:
+    """Traffic for some ms: one zone or both are there, zone 1 so many times as slow. When each endpoint was asked."""
+    sent: dict[str, list[float]] = {}
+    until = s.now + span
+    while s.now < until:
+        name = s.ask()
+        number = 0
+        while number < len(s.sends(name)):
+            endpoint = s.sends(name)[number].endpoint
+            sent.setdefault(endpoint, []).append(s.now)
+            zone = int(endpoint[1:]) % 2
+            s.wait(40.0 * (slow if zone else 1.0))
+            s.end(name, number, "served" if zone in zones else "connect_failed")
+            number += 1
+        s.feed(i.RequestClosed(name))
+        s.wait(10.0)
+    return sent
+
+
+def sends(sent: dict[str, list[float]], zone: int) -> int:
+    return sum(len(at) for name, at in sent.items() if int(name[1:]) % 2 == zone)
+
+
+def two_zones() -> Sidecar:
+    s = Sidecar(settings(), ZONES, seed=4)
+    answer_from(s, {0, 1}, 6000.0)
+    return s
+
+
+def test_a_zone_that_was_out_while_another_answered_is_cold_at_its_return() -> None:
+    """Its endpoints answer slowly, as cold ones do: it gets its ramp's share until it is warm."""
+    s = two_zones()
+    usual = sends(answer_from(s, {0, 1}, 4000.0), 1)
+    answer_from(s, {0}, 5000.0)
+    s.wait(4000.0)  # no endpoint is held for down any more
+    back = s.now
+    answer_from(s, {0, 1}, 500.0, slow=3.0)
+    assert all(s.b.cold.cold(s.now, e) for e in s.b.list.ready if e.zone == 1 and e.served_at < back)
+    first = sends(answer_from(s, {0, 1}, 4000.0, slow=3.0), 1)
+    assert first < 0.6 * usual, (first, usual)
+    s.wait(RULES.cold_for)
+    assert not any(s.b.cold.cold(s.now, e) for e in s.b.list.ready)
+
+
+def test_a_zone_that_answers_as_quickly_as_before_has_not_started_anew() -> None:
+    """The path to it was cut, say."""
+    s = two_zones()
+    answer_from(s, {0}, 5000.0)
+    s.wait(4000.0)
+    answer_from(s, {0, 1}, 3000.0)
+    assert not any(s.b.cold.cold(s.now, e) for e in s.b.list.ready)
+    assert len(s.b.list.near.cold.members) + len(s.b.list.far.cold.members) == 0
+
+
+def test_where_nothing_was_reached_the_fault_is_as_likely_here() -> None:
+    s = two_zones()
+    answer_from(s, set(), 5000.0)
+    s.wait(4000.0)
+    answer_from(s, {0, 1}, 100.0)
+    assert not any(s.b.cold.cold(s.now, e) for e in s.b.list.ready)
+
+
+@pytest.mark.parametrize("failures, span", [(OUT_AFTER - 1, 10 * OUT_FOR), (OUT_AFTER, OUT_FOR / 2)])
+def test_a_bad_moment_is_no_outage(failures: int, span: float) -> None:
+    zones = Returns()
+    for n in range(failures):
+        zones.outage(1).failed(n * span / failures)
+        zones.answered(n * span / failures + 1.0, 0, 100.0)
+    assert zones.answered(span, 1, 100.0) is None
+
+
+def test_the_presumption_ends_by_time_and_by_what_answers_say() -> None:
+    for ratio, took in itertools.product((0.9 * AS_USUAL, 1.1 * AS_USUAL), (JUDGED, 5 * JUDGED)):
+        zones = Returns()
+        for n in range(OUT_AFTER):
+            zones.outage(1).failed(float(n))
+        zones.answered(10.0, 0, 100.0)
+        assert zones.answered(OUT_FOR + 1.0, 1, 100.0) == 0.0
+        said = [zones.outage(1).judge(ratio) for _ in range(took)]
+        assert any(said) == (ratio < AS_USUAL) and not any(said[: JUDGED - 1])
+        assert zones.outage(1).presumed(OUT_FOR + 50.0) == (ratio > AS_USUAL)
+        assert not zones.outage(1).presumed(OUT_FOR + 102.0)
+
+
+def test_one_zone_alone_presumes_nothing() -> None:
+    s = Sidecar(settings(), fleet(6))
+    answer_from(s, {0, 1}, 2000.0)
+    answer_from(s, set(), 3000.0)
+    answer_from(s, {0, 1}, 500.0)
+    assert not any(s.b.cold.cold(s.now, e) for e in s.b.list.ready)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,11 +112,11 @@
     s = Sidecar(settings(replace(KEYED, group="zone", window=60.0)), fleet(2))
     r = s.ask()
     s.wait(10)
-    s.b.list.near.window = 0.0
+    s.b.list.near.window.size = 0.0
     s.end(r, 0, "error")
     assert s.b.admission.held == 1
     s.wait(55)
-    s.b.list.near.window = 10.0
+    s.b.list.near.window.size = 10.0
     s.wait(20)
     assert len(s.sends(r)) == 1 and s.finals(r) == [i.Fail(r)]
 
--- a/tests/test_swallowed.py
+++ b/tests/test_swallowed.py
@@ -190,7 +190,7 @@
 def test_overdue_attempts_leave_their_place_to_others() -> None:
     """Guards against a window full of what will never be answered."""
     s = silent(60)
-    assert s.b.list.near.overdue > 0 and s.b.list.near.inflight > s.b.list.near.window
+    assert s.b.list.near.overdue > 0 and s.b.list.near.inflight > s.b.list.near.window.size
 
 
 def test_a_single_overdue_attempt_is_left_alone() -> None:
--- /dev/null
+++ b/zinclever/fleet/returns.py
@@ -0,0 +1,86 @@
+"""Servers that were out and are back: whether they are to be taken for cold before any list says so.
+
+At scale a list is late: by the time that discovery has told hundreds of instances of a new process, each has sent it
+what a warm one gets, one request each. What an instance has seen itself comes first: that nothing could be reached for
+a while, and that it can be now. Whoever comes back so has most likely started anew. Where the first answers are as
+quick as usual it has not (a path was cut, say), and the presumption ends.
+"""
+
+from __future__ import annotations
+
+import math
+
+OUT_AFTER = 3  # failures to connect, one after another with no answer between: a path that is lost, not a bad moment
+OUT_FOR = 1000.0  # ms between the first of them and the return: a process doesn't start anew in less
+JUDGED = 3  # answers from which on their time is judged
+AS_USUAL = 1.4  # of the uncrowded time, on average: a cold server takes at least half as long again
+
+
+class Outage:
+    """What one instance has seen of one zone."""
+
+    __slots__ = ("answers", "back_at", "failures", "heard_at", "ratios", "since", "until")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.since = math.inf  # ms: first of the failures
+        self.heard_at = self.back_at = -math.inf  # ms: latest answer, latest return
+        self.until = -math.inf  # ms: end of the time in which it is presumed to be cold
+        self.answers, self.ratios = 0, 0.0
+
+    def failed(self, now: float) -> None:
+        """An attempt found no way there."""
+        if not self.failures:
+            self.since = now
+        self.failures += 1
+
+    def answered(self, now: float) -> bool:
+        """Something was reached; whether that is a return from an outage."""
+        back = self.failures >= OUT_AFTER and now - self.since >= OUT_FOR
+        self.failures, self.since, self.heard_at = 0, math.inf, now
+        if back:
+            self.back_at = now
+        return back
+
+    def there(self, since: float) -> bool:
+        """Whether it has answered since, and not only after an outage of its own."""
+        return self.heard_at > since > self.back_at
+
+    def presume(self, now: float, cold_for: float) -> None:
+        """Whatever is there has just started, for so many ms at the most."""
+        self.until = now + cold_for
+        self.answers, self.ratios = 0, 0.0
+
+    def presumed(self, now: float) -> bool:
+        return now < self.until
+
+    def judge(self, ratio: float) -> bool:
+        """What is presumed to be cold took ``ratio`` times the uncrowded time for an answer; whether that ends it."""
+        self.answers += 1
+        self.ratios += ratio
+        if self.answers < JUDGED or self.ratios > AS_USUAL * self.answers:
+            return False
+        self.until = -math.inf
+        return True
+
+
+class Returns:
+    """The zones of one instance's list."""
+
+    def __init__(self) -> None:
+        self.zones: dict[int, Outage] = {}
+
+    def outage(self, zone: int) -> Outage:
+        if zone not in self.zones:
+            self.zones[zone] = Outage()
+        return self.zones[zone]
+
+    def answered(self, now: float, zone: int, cold_for: float) -> float | None:
+        """An endpoint of a zone has answered. Where the zone has been out while another answered, since when; what has
+        not been heard of since is to be taken for cold. Where all were out the fault is as likely on this side."""
+        out = self.outage(zone)
+        since = out.since
+        if not out.answered(now) or not any(o.there(since) for z, o in self.zones.items() if z != zone):
+            return None
+        out.presume(now, cold_for)
+        return since
--- a/zinclever/native.py
+++ b/zinclever/native.py
@@ -21,12 +21,12 @@
 PACKAGE = Path(__file__).parent
 MODULES = (
     "zinclever.interface", "zinclever.fleet.limits", "zinclever.fleet.smooth", "zinclever.fleet.timed",
-    "zinclever.fleet.ring", "zinclever.policy.endpoints", "zinclever.policy.sides", "zinclever.policy.requests",
-    "zinclever.policy.membership", "zinclever.policy.cold", "zinclever.policy.crossing",
-    "zinclever.policy.admission", "zinclever.policy.draws", "zinclever.policy.learning", "zinclever.policy.overdue",
-    "zinclever.policy.balancer", "zinclever.core.protocol", "zinclever.core.counts", "zinclever.core.descriptors",
-    "zinclever.core.pools", "zinclever.core.ledger", "zinclever.http1.bodies", "zinclever.http1.connection",
-    "zinclever.http1.wire", "zinclever.http1.front",
+    "zinclever.fleet.returns", "zinclever.fleet.window", "zinclever.fleet.ring", "zinclever.policy.endpoints",
+    "zinclever.policy.sides", "zinclever.policy.requests", "zinclever.policy.membership", "zinclever.policy.cold",
+    "zinclever.policy.crossing", "zinclever.policy.admission", "zinclever.policy.draws",
+    "zinclever.policy.learning", "zinclever.policy.overdue", "zinclever.policy.balancer", "zinclever.core.protocol",
+    "zinclever.core.counts", "zinclever.core.descriptors", "zinclever.core.pools", "zinclever.core.ledger",
+    "zinclever.http1.bodies", "zinclever.http1.connection", "zinclever.http1.wire", "zinclever.http1.front",
 )
 VARIABLE = "ZINCLEVER_NATIVE"
 """Names another folder, or is ``text``: everything runs as it is written."""
--- a/zinclever/policy/admission.py
+++ b/zinclever/policy/admission.py
@@ -3,27 +3,18 @@
 from __future__ import annotations
 
 import heapq
-import math
 import random
 from collections import deque
 
 from .. import interface as i
-from ..fleet.smooth import MEMORY, NEVER, Smooth
+from ..fleet.smooth import MEMORY, Smooth
 from .cold import HOLD_STEP
 from .crossing import Crossing
 from .membership import Membership
 from .requests import Klass, Request, Share
-from .sides import RATE_SPAN, Side
-
-RATE_FIRST = 100.0  # ms: the shortest record that a rate is told from
-CALM = 1.15  # times the uncrowded time for an answer below which a full window may grow
-GROWTH = 0.02  # by which it then grows with each answer, to half as much again at most
-SHRINK = 0.95  # factor by which that is taken back with each answer when it takes longer
-PEAK_SPAN = 15000.0  # ms for which the best rate of service is remembered
-SPREAD = 3.0  # deviations: room for chance above the fleet's mean number in flight
+from .sides import Side
+
 FAR_OWN = 1.0  # in flight to the other zones at least: with many balancers each, it adds up there
-START_EACH = 10.0  # requests in flight an endpoint, of all balancers, that are sent before rates are known
-START_SPAN = 2000.0  # ms for which a start is taken to last
 START_BY = 1.5  # mean latencies before its aim by which a held request has to start
 
 
@@ -70,37 +61,13 @@
         return (below + own * self.rng.random()) / whole
 
     def steer(self, now: float, side: Side) -> None:
-        """Set a side's window: what its best rate of service needs in flight at the uncrowded latency, and
-        chance.
-
-        What goes out beyond that only waits at the endpoints, where it does harm. Aimed at a latency
-        instead, the window would starve a fleet that is slow for other reasons than a queue.
-        """
-        side.began = min(side.began, now)
-        age = max(now - side.began, RATE_FIRST)
-        busy = side.served.rate(now) / (1.0 - math.exp(-age / RATE_SPAN))
-        if age >= RATE_SPAN:
-            side.peak = busy = max(busy, side.peak * math.exp((side.steered_at - now) / PEAK_SPAN))
-        if side.load.mean(now, 1.0, 3.0) >= CALM:
-            side.extra *= SHRINK
-        elif self.held:
-            side.extra = min(side.extra + GROWTH, 0.5 * busy)
-        side.steered_at = now
-        # The room for chance is one for all balancers together: each takes a part as if loads were even.
         own = 2.0 if side is self.list.near else FAR_OWN
-        side.window = busy + side.extra + SPREAD * math.sqrt(busy / self.list.sharing) + own
-        if age < START_SPAN:
-            # A short record tells little; without any bound a fleet in overload is full within a second.
-            side.window = max(side.window, self.first_window(side))
-
-    def first_window(self, side: Side) -> float:
-        return START_EACH * len(side.ready) / self.list.sharing
+        side.window.steer(now, self.held > 0, len(side.ready), self.list.sharing, own)
 
     def start(self) -> None:
-        """There is a list: sides that have answered nothing yet get a window to begin with."""
+        """There is a list."""
         for side in (self.list.near, self.list.far):
-            if side.began == NEVER:
-                side.window = self.first_window(side)
+            side.window.start(len(side.ready), self.list.sharing)
 
     def hold(self, r: Request) -> None:
         """Keep a request until there is room, or until it could no longer be served in time."""
--- a/zinclever/policy/balancer.py
+++ b/zinclever/policy/balancer.py
@@ -13,6 +13,7 @@
 from .. import interface as i
 from ..fleet.limits import Budget
 from ..fleet.smooth import NEVER
+from ..fleet.window import RATE_SPAN
 from .admission import Admission
 from .cold import Cold
 from .crossing import Crossing
@@ -21,7 +22,6 @@
 from .membership import Membership
 from .overdue import FINISH, Overdue
 from .requests import Attempt, Klass, Request, Share
-from .sides import RATE_SPAN
 
 COPY_BUDGET = 0.2  # copies per request on the long run: what bounds the extra load
 COPY_BURST = 10.0  # copies: what may be saved up of the budget
@@ -42,7 +42,7 @@
         self.crossing = Crossing(settings, self.rng)
         self.admission = Admission(settings, self.classes, self.tenants, self.list, self.crossing, self.rng)
         self.draws = Draws(settings, self.classes, self.list, self.cold, self.crossing, self.rng)
-        self.learning = Learning(settings, self.list, self.crossing, self.admission, self.rng)
+        self.learning = Learning(settings, self.list, self.cold, self.crossing, self.admission, self.rng)
         self.overdue = Overdue(settings)
         self.requests: dict[str, Request] = {}
         self.copy_tokens = COPY_BURST
--- a/zinclever/policy/cold.py
+++ b/zinclever/policy/cold.py
@@ -24,11 +24,13 @@
 
     def cold(self, now: float, e: Endpoint) -> bool:
         # A start at 0 is long past: guards against a clock near 0, by which all would be cold.
+        if e.presumed_at + self.rules.cold_for > now:
+            return True
         return e.started_at != 0.0 and e.started_at + self.rules.cold_for > now
 
     def ramp(self, now: float, e: Endpoint) -> float:
         """Share of its capacity that a cold endpoint has at least."""
-        age = max(0.0, now - e.started_at)
+        age = max(0.0, now - max(e.started_at, e.presumed_at))
         return self.rules.cold_share + (1.0 - self.rules.cold_share) * age / self.rules.cold_for
 
     def warm_enough(self, now: float, e: Endpoint) -> bool:
@@ -47,6 +49,21 @@
         e.tokens_at = now
         return e.tokens >= 1.0
 
+    def presume(self, now: float, zone: int, since: float) -> None:
+        """What a zone has not been heard of since an instant is cold from now on, whatever the list says."""
+        for e in self.list.ready:
+            if e.zone == zone and e.served_at <= since:
+                e.presumed_at, e.tokens, e.tokens_at = now, self.list.rng.random(), now
+                self.list.side(e).cold.add(now + self.rules.cold_for, e.rank, e)
+
+    def dispel(self, now: float, zone: int) -> None:
+        """It was not."""
+        for e in self.list.ready:
+            if e.zone == zone and e.presumed_at > -NEVER:
+                e.presumed_at = -NEVER
+                if not self.cold(now, e):
+                    self.list.side(e).cold.members.discard(e)
+
     def measure_warm(self, now: float) -> None:
         """Answers of the warm endpoints in use, by size. Where few are warm the last figure stands.
 
--- a/zinclever/policy/endpoints.py
+++ b/zinclever/policy/endpoints.py
@@ -16,8 +16,8 @@
 
     __slots__ = (
         "cell", "down_until", "failures", "good", "hash", "inflight", "latency", "mark", "name", "near", "phase",
-        "quiet_from", "quiet_to", "rank", "served", "served_at", "size", "started_at", "tokens", "tokens_at",
-        "up_at", "zone",
+        "presumed_at", "quiet_from", "quiet_to", "rank", "served", "served_at", "size", "started_at", "tokens",
+        "tokens_at", "up_at", "zone",
     )
 
     def __init__(self, listed: i.Listed, now: float, rng: random.Random) -> None:
@@ -34,6 +34,7 @@
         self.quiet_from = self.quiet_to = NEVER
         self.served_at = -NEVER
         self.down_until, self.failures = -NEVER, 0
+        self.presumed_at = -NEVER  # from when on it is taken for cold, whatever the list says
         self.tokens, self.tokens_at = rng.random(), now
         self.tell(listed)
 
--- a/zinclever/policy/learning.py
+++ b/zinclever/policy/learning.py
@@ -5,9 +5,12 @@
 import random
 
 from .. import interface as i
+from ..fleet.returns import Returns
 from ..fleet.smooth import NEVER
 from .admission import Admission
+from .cold import Cold
 from .crossing import Crossing
+from .endpoints import Endpoint
 from .membership import Membership
 from .requests import BASE_SHARE, Attempt, Request
 
@@ -18,11 +21,12 @@
 class Learning:
     """Takes in how attempts ended."""
 
-    def __init__(self, settings: i.Settings, members: Membership, crossing: Crossing, admission: Admission,
-                 rng: random.Random) -> None:
+    def __init__(self, settings: i.Settings, members: Membership, cold: Cold, crossing: Crossing,
+                 admission: Admission, rng: random.Random) -> None:
         self.settings, self.limits, self.rng = settings, settings.limits, rng
-        self.list, self.crossing, self.admission = members, crossing, admission
+        self.list, self.cold, self.crossing, self.admission = members, cold, crossing, admission
         self.began = NEVER  # first answer
+        self.returns = Returns()
 
     def learn(self, now: float, r: Request, a: Attempt, event: i.AttemptEnded, outcome: i.Outcome) -> None:
         """What an outcome teaches of the endpoint, of the class and of the fleet."""
@@ -39,7 +43,7 @@
         span = min(event.elapsed, a.overdue_at - a.sent_at) if a.passed else event.elapsed
         k.occupied.add(now, span, 1.0, count)
         if not a.passed:  # what is swallowed makes no crowd
-            a.side.load.add(now, span / k.low, 1.0, count)
+            a.side.window.load.add(now, span / k.low, 1.0, count)
         ratio = event.elapsed / k.mean
         if outcome == "cancelled":
             # A loser counts as served at the time it had waited, and for less if that was short: one
@@ -55,6 +59,7 @@
             answered = outcome in ("served", "cancelled")
             zone.add(now, max(0.0, 1.0 - event.elapsed / k.told.aim) if answered else 0.0)
         if outcome == "served":
+            self.reached(now, e, event.elapsed / k.low)
             e.latency.add(now, ratio)
             e.served_at = now
             e.served.add(now, 0.0)
@@ -66,12 +71,13 @@
             known = k.occupied.weight > BASE_FROM
             per_answer = k.occupied.mean(now, BASE_SHARE * k.told.aim, 0.3)
             k.low = min(k.low * (1.0 + BASE_DRIFT) if known else BASE_SHARE * k.told.aim, per_answer)
-            a.side.served.add(now, 0.0, k.low)
+            a.side.window.served.add(now, 0.0, k.low)
             self.began = min(self.began, now)
             self.admission.steer(now, a.side)
         elif outcome == "connect_failed" and e.served_at < a.sent_at:
             # No word since the send: down. With answers in between, its connection table is full.
             e.failures += 1
+            self.returns.outage(e.zone).failed(now)
             span = self.limits.connect_timeout * 2.0 ** min(e.failures, 5)
             e.down_until = now + span * (0.5 + self.rng.random())
             if e.phase == "ready":
@@ -80,3 +86,14 @@
             e.quiet_from = now if e.inflight else NEVER
         elif not e.inflight:
             e.quiet_to = now
+
+    def reached(self, now: float, e: Endpoint, ratio: float) -> None:
+        """An answer, after ``ratio`` times what an uncrowded fleet takes.
+
+        Guards cold endpoints against hundreds of balancers whose lists are late: each sends what a warm one gets.
+        """
+        since = self.returns.answered(now, e.zone, self.settings.rules.cold_for)
+        if since is not None:
+            self.cold.presume(now, e.zone, since)
+        elif e.presumed_at > -NEVER and self.returns.zones[e.zone].judge(ratio):
+            self.cold.dispel(now, e.zone)
--- a/zinclever/policy/sides.py
+++ b/zinclever/policy/sides.py
@@ -7,12 +7,11 @@
 import random
 
 from ..fleet.ring import Ring
-from ..fleet.smooth import NEVER, Smooth
 from ..fleet.timed import Timed
+from ..fleet.window import Window
 from .endpoints import Endpoint, cut, rank_of
 
 FORGIVEN = 0.5  # of a window: as many overdue attempts at the most leave their place in it to others
-RATE_SPAN = 1000.0  # ms over which the rate of service is taken
 
 
 class Side:
@@ -23,8 +22,7 @@
     """
 
     __slots__ = (
-        "began", "cold", "down", "extra", "inflight", "load", "overdue", "peak", "ready", "ring", "served",
-        "steered_at", "sums", "up", "window",
+        "cold", "down", "inflight", "overdue", "ready", "ring", "sums", "up", "window",
     )
 
     def __init__(self) -> None:
@@ -35,9 +33,7 @@
         self.ring: Ring[Endpoint] | None = None  # of all, where keys have keepers; None: not made yet
         self.inflight = 0
         self.overdue = 0  # of these, where attempts are being swallowed
-        self.served, self.load = Smooth(RATE_SPAN), Smooth(RATE_SPAN)
-        self.peak = self.extra = self.steered_at = self.window = 0.0
-        self.began = NEVER  # first answer
+        self.window = Window()
 
     def take(self, now: float, ready: list[Endpoint], cold_for: float) -> None:
         """Take another list. Costs its length; draws between two lists don't."""
@@ -121,5 +117,5 @@
 
     def room(self) -> bool:
         """Whether one more may go out."""
-        forgiven = min(self.overdue, FORGIVEN * self.window)
-        return bool(self.ready) and self.inflight - forgiven < self.window
+        forgiven = min(self.overdue, FORGIVEN * self.window.size)
+        return bool(self.ready) and self.inflight - forgiven < self.window.size
