--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -15,7 +15,7 @@
 
 from zinclever import interface as i
 from zinclever.core import ledger
-from zinclever.http1 import bodies, connection, front
+from zinclever.http1 import bodies, clients, connection, server
 from zinclever.http1.bodies import Room, room_for
 
 LARGE = 1_000_003  # bytes: beyond what is held, and beyond what the kernel takes at once
@@ -235,15 +235,15 @@
             c.writer.transport.pause_reading()  # type: ignore[attr-defined]
             c.send()
             await ended(s, "served")
-            one, = (s.front.since[front.State.WRITING] or s.front.since[front.State.PASSING])
-            while one.state is not front.State.WRITING:
+            one, = (s.front.since[clients.State.WRITING] or s.front.since[clients.State.PASSING])
+            while one.state is not clients.State.WRITING:
                 await asyncio.sleep(0.01)
             await asyncio.sleep(0.2)
             assert one.transport.get_write_buffer_size() < 1 << 20 and written < size // 2
             c.writer.transport.resume_reading()  # type: ignore[attr-defined]
             await c.reader.readuntil(b"\r\n\r\n")
             assert len(await c.reader.readexactly(size)) == size
-            assert list(s.front.since[front.State.IDLE]) == [one]
+            assert list(s.front.since[clients.State.IDLE]) == [one]
 
     run(test)
 
@@ -376,7 +376,7 @@
 
 def test_who_finds_no_room_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
     """Nothing of it has gone out: a repeat is harmless, and the client is told when."""
-    monkeypatch.setattr(front, "ROOM_FOR", 0.2)
+    monkeypatch.setattr(clients, "ROOM_FOR", 0.2)
 
     async def test() -> None:
         async with uploads(room=100_000) as (s, got):
@@ -414,8 +414,9 @@
 
 
 def test_a_slow_body_is_waited_for_and_a_stopped_one_isn_t(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(front, "READ_FOR", 0.3)
-    monkeypatch.setattr(front, "SLOWEST", 1000)
+    for module in (clients, server):
+        monkeypatch.setattr(module, "READ_FOR", 0.3)
+    monkeypatch.setattr(server, "SLOWEST", 1000)
 
     async def test() -> None:
         async with uploads() as (s, _):
@@ -434,7 +435,7 @@
 
 @pytest.mark.parametrize("chunked", [False, True])
 def test_too_large_a_body_is_told_at_once(chunked: bool, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(front, "MOST_UPLOAD", 100_000)
+    monkeypatch.setattr(server, "MOST_UPLOAD", 100_000)
 
     async def test() -> None:
         async with uploads() as (s, got):
@@ -602,8 +603,9 @@
 @pytest.mark.parametrize("end", ["leaves", "stops", "spoils"])
 def test_a_client_that_doesn_t_end_its_body_runs_nothing(end: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an endpoint that takes half a body for a whole one: its connection ends before the last byte."""
-    monkeypatch.setattr(front, "READ_FOR", 0.2)
-    monkeypatch.setattr(front, "SLOWEST", 1 << 30)
+    for module in (clients, server):
+        monkeypatch.setattr(module, "READ_FOR", 0.2)
+    monkeypatch.setattr(server, "SLOWEST", 1 << 30)
 
     async def test() -> None:
         got = Got()
--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -102,7 +102,7 @@
     print(f"{count} events of {seed} days")
 
 
-WHICH = "from zinclever.core import ledger; from zinclever.http1 import front; print(ledger.__file__, front.__file__)"
+WHICH = "from zinclever.core import ledger; from zinclever.http1 import server; print(ledger.__file__, server.__file__)"
 
 
 def test_it_is_used_only_if_it_is_of_the_same_text(compiled: Path, tmp_path: Path) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -24,8 +24,8 @@
 
 from zinclever import interface as i
 from zinclever.core.descriptors import RESERVED
+from zinclever.http1 import clients, server
 from zinclever.http1 import connection as http
-from zinclever.http1 import front as server
 
 
 def refuse_all(event: i.Event) -> Iterable[i.Action]:
@@ -115,7 +115,7 @@
             c = await s.client()
             c.writer.write(b"".join(GOOD.replace(b"r1", b"r%d" % n) for n in range(1, 300)))
             await s.balancer.until(lambda: len(s.balancer.told) == 2)
-            one, = s.front.since[server.State.BUSY]
+            one, = s.front.since[clients.State.BUSY]
             assert len(one.queue) == server.PIPELINED and one.rejected == 400
 
     run(test)
@@ -130,7 +130,8 @@
 def test_slow_request_ends(data: bytes, status: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against connections that are held for ever by who never sends a whole request; a kept
     connection of a client that has been served is no such."""
-    monkeypatch.setattr(server, "READ_FOR", 0.3)
+    for module in (clients, server):
+        monkeypatch.setattr(module, "READ_FOR", 0.3)
 
     async def test() -> None:
         async with sidecar(refuse_all, known(e=closed_port())) as s:
@@ -172,25 +173,25 @@
 
 
 def test_idle_connections_end_longest_idle_first(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against connections kept for good by clients that ask once; a request that has come in
+    """Guards against connections kept for good by several that ask once; a request that has come in
     meanwhile, unread, keeps its connection."""
-    monkeypatch.setattr(server, "IDLE_AT_LEAST", 0.0)
-    monkeypatch.setattr(server, "SWEEP", 1000.0)
+    monkeypatch.setattr(clients, "IDLE_AT_LEAST", 0.0)
+    monkeypatch.setattr(clients, "SWEEP", 1000.0)
 
     async def test() -> None:
-        async with sidecar(refuse_all, known(e=closed_port()), sockets=server.EASY * 2) as s:
-            clients = [await s.client() for _ in range(4)]
+        async with sidecar(refuse_all, known(e=closed_port()), sockets=clients.EASY * 2) as s:
+            several = [await s.client() for _ in range(4)]
             for n in (2, 1, 0, 3):
-                assert (await clients[n].ask(Req_Id=f"r{n}")).status == 503
-            raw = clients[1].writer.get_extra_info("socket")
+                assert (await several[n].ask(Req_Id=f"r{n}")).status == 503
+            raw = several[1].writer.get_extra_info("socket")
             raw = socket.fromfd(raw.fileno(), socket.AF_INET, socket.SOCK_STREAM)
             raw.send(GOOD)
             raw.close()
             s.front.sweep()  # down to two: the longest idle one, then the one after the one that asks
-            assert (await clients[1].answer()).status == 503
-            assert await read_message(clients[2].reader) is None
-            assert await read_message(clients[0].reader) is None
-            assert (await clients[3].ask(Req_Id="r9")).status == 503
+            assert (await several[1].answer()).status == 503
+            assert await read_message(several[2].reader) is None
+            assert await read_message(several[0].reader) is None
+            assert (await several[3].ask(Req_Id="r9")).status == 503
 
     run_real(test)
 
@@ -200,7 +201,7 @@
     comes back on one keeps it."""
 
     async def test() -> None:
-        async with sidecar(refuse_all, known(e=closed_port()), sockets=server.BRIEF * 8) as s:
+        async with sidecar(refuse_all, known(e=closed_port()), sockets=clients.BRIEF * 8) as s:
             proven = await s.client()
             for n in range(2):
                 assert "connection" not in (await proven.ask(Req_Id=f"p{n}")).headers
@@ -225,7 +226,7 @@
                 usual = await s.client()
                 assert (await usual.ask(Req_Id=f"u{n}")).status == 503
                 assert silent
-                await asyncio.sleep(2 * server.FRESH)
+                await asyncio.sleep(2 * clients.FRESH)
             assert (await first.ask(Req_Id="r1")).status == 503
             assert s.front.count() <= 64
 
@@ -234,7 +235,7 @@
 
 def test_client_that_does_not_read_is_not_buffered_for(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against answers that pile up for a client that sends on and never reads."""
-    monkeypatch.setattr(server, "WRITE_FOR", 0.5)
+    monkeypatch.setattr(clients, "WRITE_FOR", 0.5)
     page = b"x" * http.MOST_BODY
 
     async def test() -> None:
@@ -353,8 +354,8 @@
 
 def test_who_writes_slowly_is_missed_more_than_who_stopped(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against cutting off ordinary clients, as the oldest, for hundreds that never send a whole request."""
-    monkeypatch.setattr(server, "STALE", 0.2)
-    monkeypatch.setattr(server, "FRESH", 0.01)
+    monkeypatch.setattr(clients, "STALE", 0.2)
+    monkeypatch.setattr(clients, "FRESH", 0.01)
 
     async def test() -> None:
         async with sidecar(refuse_all, known(e=closed_port()), sockets=128) as s:
--- a/zinclever/native.py
+++ b/zinclever/native.py
@@ -26,7 +26,8 @@
     "zinclever.policy.crossing", "zinclever.policy.admission", "zinclever.policy.draws",
     "zinclever.policy.learning", "zinclever.policy.overdue", "zinclever.policy.balancer", "zinclever.core.protocol",
     "zinclever.core.counts", "zinclever.core.descriptors", "zinclever.core.pools", "zinclever.core.ledger",
-    "zinclever.http1.bodies", "zinclever.http1.connection", "zinclever.http1.wire", "zinclever.http1.front",
+    "zinclever.http1.bodies", "zinclever.http1.connection", "zinclever.http1.wire", "zinclever.http1.heads",
+    "zinclever.http1.clients", "zinclever.http1.server", "zinclever.http1.front",
 )
 VARIABLE = "ZINCLEVER_NATIVE"
 """Names another folder, or is ``text``: everything runs as it is written."""
