--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -53,6 +53,9 @@
         (head("POST /tip HTTP/1.1", "Req-Id: r", "Req-Deadline: 5", f"Content-Length: {server.MOST_UPLOAD + 1}"), 413),
         (head("GET /read HTTP/1.1", "Req-Id: r", "Req-Deadline: 5", "X-Fill: " + "x" * 40000), 431),
         (b"what is this\r\n\r\n", 400),
+        (GOOD.replace(b"Host: x\r\n", b""), 400),
+        (GOOD.replace(b"Host: x\r\n", b"Host: x\r\nhost: x\r\n"), 400),
+        (GOOD.replace(b"1.1", b"1.0").replace(b"Host: x\r\n", b"Host: x\r\nHost: y\r\n"), 400),
         (head("GET /read HTTP/1.1", "Req-Id: r", "Req-Deadline: 5", "Content-Length: x"), 400),
     ],
 )
--- a/zinclever/http1/server.py
+++ b/zinclever/http1/server.py
@@ -140,7 +140,7 @@
         version = self.parser.get_http_version()
         if version not in VERSIONS:
             raise Rejected(505)
-        self.size = length = 0
+        self.size = length = hosts = 0
         expects = False
         for name, value in self.headers:
             low = name.lower()
@@ -148,6 +148,10 @@
                 length = int(value)
             elif low == b"expect":
                 expects = value.lower() == b"100-continue"
+            elif low == b"host":
+                hosts += 1
+        if hosts > 1 or (not hosts and version == "1.1"):
+            raise Rejected(400)  # RFC 9112, 3.2
         if length > min(MOST_UPLOAD, self.front.room.limit):
             raise Rejected(413)
         self.length = length or None
