--- a/zinclever/sim/pages.py
+++ b/zinclever/sim/pages.py
@@ -76,8 +76,8 @@
         return "yes" if len(self.connections) < self.world.day.servers.connections else "silent"
 
     def serves(self) -> bool:
-        """Whether what it can do is of use to anybody."""
-        return not self.loop.dead and self.machine.up and not self.silent
+        """Whether what it can do is of use to new requests."""
+        return self.health == "ready" and not self.loop.dead and self.machine.up and not self.silent
 
     # --- its life ---
 
