--- a/zinclever/sim/listing.py
+++ b/zinclever/sim/listing.py
@@ -89,6 +89,10 @@
             if (version > since if since is not None else health != "gone")
         }
 
+    def listed(self) -> list[str]:
+        """The servers that are ready as far as it knows."""
+        return [name for name, (health, _) in self.hosts(None).items() if health == "ready"]
+
     def whole(self) -> dict[str, Any]:
         """As a sidecar that has just started may know it."""
         return {"seq": self.version, "whole": True, "hosts": [line for _, line in self.hosts(None).values()]}
--- a/zinclever/sim/sidecars.py
+++ b/zinclever/sim/sidecars.py
@@ -14,6 +14,7 @@
 from ..simnet.host import Disk, SimulatedHost
 from ..simnet.loop import Cost, Loop
 from ..simnet.network import Machine
+from ..standins.log import Told
 
 if TYPE_CHECKING:
     from .world import World
@@ -42,13 +43,18 @@
         """ns of its core, of processes that have ended."""
 
     def start(self) -> None:
-        """A new process; the one before has ended or takes its leave."""
+        """A new process, unless one is there: two troubles may befall one sidecar."""
+        if self.loop is not None:
+            return
         world = self.world
         self.starts += 1
         told = world.day.sidecar
         cost = Cost(told.callback_us / 1e6, told.byte_ns / 1e9, told.core_share)
         loop = Loop(self.machine, cost, told.sockets)
         seed = f"{world.day.seed}/{self.name}/{self.starts}"
+        if told.known:
+            # What it remembers has been told, too: a server may have come back since the last process heard of it.
+            world.log.told += [Told(world.ms(), name, "ready", self.name) for name in world.listing.listed()]
         self.disk.files[CONFIG] = self.configuration(world.text_seed(seed))
         host = SimulatedHost(loop, world.text_seed(seed + "/host"), {"LB_CONFIG": CONFIG}, self.disk)
         self.loop, self.host = loop, host
@@ -99,9 +105,9 @@
         if self.loop is not None:
             self.bury(self.loop)
 
-    def restart(self) -> None:
+    def restart(self, old: Loop | None) -> None:
         """A planned restart is over: what the old process still held is lost with it."""
-        if self.loop is not None:
+        if self.loop is not None and self.loop is old:
             self.world.counts.crashes.append(f"{self.name}: still there when it was to be restarted")
             self.kill()
         self.start()
--- a/zinclever/sim/troubles.py
+++ b/zinclever/sim/troubles.py
@@ -214,7 +214,7 @@
         application = self.world.applications[sidecar.number]
         sidecar.terminate()
         self.after(LEAVES_AFTER, application.pause)
-        self.after(RESTARTS_AFTER, sidecar.restart)
+        self.after(RESTARTS_AFTER, sidecar.restart, sidecar.loop)
         self.after(RESTARTS_AFTER + BACK_AFTER, application.go)
 
     def kill(self, trouble: Trouble, rng: Random) -> None:
