Send cold endpoints twice the share that answers tell, half of what fells them at most

What warm ones answer is what is asked of them: at 0.62 load a fleet that was replaced by cold endpoints was left idle by a third while requests were refused.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -283,6 +283,22 @@
     assert spans[0] < 0.45 and spans[-1] > 0.5
 
 
+@pytest.mark.parametrize("factor", [1.0, 2.0, 4.0, 8.0])
+def test_a_cold_endpoint_is_sent_half_of_what_pushes_it_over_at_most(factor: float) -> None:
+    """And, where that is far away, no more than twice its ramp's share of what warm ones answer."""
+    rules = replace(RULES, overload_factor=factor)
+    s = Sidecar(settings(limits=replace(LIMITS, max_attempts=1), rules=rules), fleet(4))
+    s.serve_many(40, 8, 50)
+    s.feed(i.MembershipNews("changes", [i.Listed(f"e{n}", started_at=s.now) for n in range(1, 4)]))
+    n, start = len(s.sends()), s.now
+    s.serve_many(40, 8, 50)
+    span = s.now - start
+    ramp = RULES.cold_share + (1 - RULES.cold_share) * span / RULES.cold_for / 2  # on average
+    sent = sum(a.endpoint == "e1" for a in s.sends()[n:])
+    most = min(factor / 2, 2.0) * ramp * 8 / 50 / 4 * span
+    assert 0 < sent < 1.4 * most + 2, (sent, most)
+
+
 def test_no_burst_on_a_cold_endpoint_even_as_the_only_one() -> None:
     # Guards against pushing over the one endpoint that a restarted sidecar knows, copies included.
     s = Sidecar(settings(), fleet(4))
--- a/zinclever/policy/cold.py
+++ b/zinclever/policy/cold.py
@@ -9,6 +9,7 @@
 from .endpoints import Endpoint
 from .membership import Membership
 
+LEAD = 2.0  # times the share that answers tell, and half of what pushes a cold endpoint over at the most
 MEASURED = 256  # warm endpoints by whose answers the cold ones are measured at the most
 HOLD_STEP = 10.0  # ms between two looks at the held requests
 
@@ -34,7 +35,8 @@
         return self.rules.cold_share + (1.0 - self.rules.cold_share) * age / self.rules.cold_for
 
     def warm_enough(self, now: float, e: Endpoint) -> bool:
-        """A cold endpoint gets its ramp's share of what a warm one of its size answers to this balancer.
+        """A cold endpoint gets its ramp's share of what a warm one of its size answers to this balancer, and LEAD times
+        as much: warm ones answer what is asked, which is less than they could.
 
         Answers, not sends: guards against a crowd whose many attempts would set the measure. What is saved
         up starts at a random part of one send, as one each from hundreds of balancers is a burst.
@@ -43,7 +45,7 @@
             return True
         if now - self.warm_at > HOLD_STEP:
             self.measure_warm(now)
-        rate = self.ramp(now, e) * e.size * self.warm_rate
+        rate = min(LEAD, self.rules.overload_factor / 2) * self.ramp(now, e) * e.size * self.warm_rate
         burst = max(1.0, rate * self.rules.overload_for / 8)
         e.tokens = min(burst, e.tokens + rate * (now - e.tokens_at))
         e.tokens_at = now
