--- a/benchmarks/simulated.py
+++ b/benchmarks/simulated.py
@@ -3,11 +3,13 @@
     python -m benchmarks.simulated             # requests a second of one core, by size of the world
     python -m benchmarks.simulated profile     # whose CPU it is: the program's or the world's
     python -m benchmarks.simulated callback    # CPU of a real sidecar for each callback that the same load makes here
+    python -m benchmarks.simulated soak        # an hour: what 4 sidecars hold, and their descriptors, every 10 minutes
 """
 
 from __future__ import annotations
 
 import cProfile
+import gc
 import os
 import pstats
 import statistics
@@ -20,6 +22,7 @@
 from zinclever.native import TEXT, VARIABLE
 from zinclever.sim.days import draw
 from zinclever.sim.world import World
+from zinclever.simnet.scheduler import NS
 
 from .jsonrpc import ROOT, HttpCaller, HttpEcho, cpu_of, endpoints, measure, sidecar
 
@@ -27,6 +30,8 @@
 SECONDS = 10.0
 WORLD = ("/simnet/", "/sim/", "/standins/")
 ROUNDS = 5
+HOUR = 3600.0
+SOAK_STEP = 600 * NS
 
 
 def speed() -> None:
@@ -106,8 +111,35 @@
                 print(f"{name}, {clients} clients: {cpu:.0f} us a request, {cpu / count:.1f} us a callback", flush=True)
 
 
+def held() -> Counter[str]:
+    """The program's own objects, by class, in all sidecars together."""
+    gc.collect()
+    found: Counter[str] = Counter()
+    for x in gc.get_objects():
+        module = str(type(x).__module__)
+        if module.startswith("zinclever.") and not any(part in f"/{module.replace('.', '/')}/" for part in WORLD):
+            found[type(x).__name__] += 1
+    return found
+
+
+def soak() -> None:
+    world = World(draw("soak", 1, 4, 4, HOUR, 30.0))
+
+    def look() -> None:
+        counts = held()
+        most = ", ".join(f"{name} {count}" for name, count in counts.most_common(8))
+        open_now = [len(s.loop.descriptors.open) if s.loop is not None else 0 for s in world.sidecars]
+        print(f"{world.now() // NS:5} s: {counts.total()} objects ({most}); descriptors {open_now}", flush=True)
+        if not world.closing:
+            world.scheduler.after(SOAK_STEP, look)
+
+    world.scheduler.after(SOAK_STEP // 10, look)
+    found = world.play()
+    print({name: found[name] for name in ("requests", "goal", "breaches", "fallen", "descriptors_most")})
+
+
 def main() -> None:
-    shown: dict[str, Callable[[], None]] = {"speed": speed, "profile": profile, "callback": callback}
+    shown: dict[str, Callable[[], None]] = {"speed": speed, "profile": profile, "callback": callback, "soak": soak}
     shown[sys.argv[1] if len(sys.argv) > 1 else "speed"]()
 
 
