Send to the zones that can be reached while one can't, and forget its outage at its return

A lost data centre cost each request 250 ms for each endpoint of it that the instance hadn't tried yet. After three failures in a row with no answer of the zone between, draws go elsewhere but for a tenth; at the return the estimates of home and away begin anew.

--- a/zinclever/fleet/returns.py
+++ b/zinclever/fleet/returns.py
@@ -9,13 +9,19 @@
 from __future__ import annotations
 
 import math
+from random import Random
+from typing import Literal
 
 OUT_AFTER = 3  # failures to connect, one after another with no answer between: a path that is lost, not a bad moment
 OUT_FOR = 1000.0  # ms between the first of them and the return: a process doesn't start anew in less
 JUDGED = 3  # answers from which on their time is judged
+TRIED = 0.1  # of the draws that go to what is lost
 AS_USUAL = 1.4  # of the uncrowded time, on average: a cold server takes at least half as long again
 
 
+Side = Literal["home", "away", "either"]
+
+
 class Outage:
     """What one instance has seen of one zone."""
 
@@ -34,9 +40,12 @@
             self.since = now
         self.failures += 1
 
+    def out(self) -> bool:
+        return self.failures >= OUT_AFTER
+
     def answered(self, now: float) -> bool:
         """Something was reached; whether that is a return from an outage."""
-        back = self.failures >= OUT_AFTER and now - self.since >= OUT_FOR
+        back = self.out() and now - self.since >= OUT_FOR
         self.failures, self.since, self.heard_at = 0, math.inf, now
         if back:
             self.back_at = now
@@ -65,7 +74,7 @@
 
 
 class Returns:
-    """The zones of one instance's list."""
+    """The zones of one instance's list: which can't be reached, and which are back."""
 
     def __init__(self) -> None:
         self.zones: dict[int, Outage] = {}
@@ -75,6 +84,22 @@
             self.zones[zone] = Outage()
         return self.zones[zone]
 
+    def only(self, home: int, rng: Random) -> Side:
+        """Where draws are to go alone, as the rest can't be reached: the home zone, the others, or either.
+
+        One in :data:`TRIED` tries what is lost, so that its return is seen.
+        """
+        here, out, there = False, 0, 0
+        for zone, o in self.zones.items():
+            if zone == home:
+                here = o.out()
+            else:
+                there += 1
+                out += o.out()
+        if here is (0 < out == there):
+            return "either"
+        return "home" if here is (rng.random() < TRIED) else "away"
+
     def answered(self, now: float, zone: int, cold_for: float) -> float | None:
         """An endpoint of a zone has answered. Where the zone has been out while another answered, since when; what has
         not been heard of since is to be taken for cold. Where all were out the fault is as likely on this side."""
--- a/zinclever/policy/balancer.py
+++ b/zinclever/policy/balancer.py
@@ -12,6 +12,7 @@
 
 from .. import interface as i
 from ..fleet.limits import Budget
+from ..fleet.returns import Returns
 from ..fleet.smooth import NEVER
 from ..fleet.window import RATE_SPAN
 from .admission import Admission
@@ -41,8 +42,9 @@
         self.cold = Cold(settings, self.list)
         self.crossing = Crossing(settings, self.rng)
         self.admission = Admission(settings, self.classes, self.tenants, self.list, self.crossing, self.rng)
-        self.draws = Draws(settings, self.classes, self.list, self.cold, self.crossing, self.rng)
-        self.learning = Learning(settings, self.list, self.cold, self.crossing, self.admission, self.rng)
+        returns = Returns()
+        self.draws = Draws(settings, self.classes, self.list, self.cold, self.crossing, returns, self.rng)
+        self.learning = Learning(settings, self.list, self.cold, self.crossing, self.admission, returns, self.rng)
         self.overdue = Overdue(settings)
         self.requests: dict[str, Request] = {}
         self.copy_tokens = COPY_BURST
--- a/zinclever/policy/crossing.py
+++ b/zinclever/policy/crossing.py
@@ -23,6 +23,13 @@
         self.home, self.away = Smooth(2 * MEMORY), Smooth(2 * MEMORY)  # share of the aim that answers left
         self.asked = Smooth(2 * MEMORY)  # worth of a request
 
+    def returned(self, zone: int) -> None:
+        """A zone is back: what its outage taught would keep requests away for as long again."""
+        if zone == self.settings.zone:
+            self.home = Smooth(2 * MEMORY)
+        else:
+            self.away = Smooth(2 * MEMORY)
+
     def gives(self, r: Request) -> float:
         """What an answer in time to this request is worth."""
         return r.klass.told.value * ((r.work or r.klass.mean) if self.settings.value_by == "work" else 1.0)
--- a/zinclever/policy/draws.py
+++ b/zinclever/policy/draws.py
@@ -9,6 +9,7 @@
 from collections import deque
 
 from .. import interface as i
+from ..fleet.returns import Returns
 from .cold import Cold
 from .crossing import Crossing
 from .endpoints import Endpoint
@@ -30,8 +31,8 @@
     """Which endpoint an attempt goes to."""
 
     def __init__(self, settings: i.Settings, classes: list[Klass], members: Membership, cold: Cold,
-                 crossing: Crossing, rng: random.Random) -> None:
-        self.settings, self.classes, self.rng = settings, classes, rng
+                 crossing: Crossing, returns: Returns, rng: random.Random) -> None:
+        self.settings, self.classes, self.rng, self.returns = settings, classes, rng, returns
         self.list, self.cold, self.crossing = members, cold, crossing
         self.recent: deque[str] = deque(maxlen=KEYS)
 
@@ -160,6 +161,9 @@
     def sides(self, now: float, r: Request) -> list[Side]:
         """What to draw from: the home zone, or the others where it is full or they are better by more than
         the crossing."""
+        only = self.returns.only(self.settings.zone, self.rng)
+        if only != "either" and self.list.near.ready and self.list.far.ready:
+            return [self.list.near if only == "home" else self.list.far]
         sides = [self.list.near]
         if not self.list.near.ready or FULL_GAIN * self.crossing.weighs(now, r) >= self.settings.prices.cross_zone:
             sides.append(self.list.far)
--- a/zinclever/policy/learning.py
+++ b/zinclever/policy/learning.py
@@ -22,11 +22,10 @@
     """Takes in how attempts ended."""
 
     def __init__(self, settings: i.Settings, members: Membership, cold: Cold, crossing: Crossing,
-                 admission: Admission, rng: random.Random) -> None:
-        self.settings, self.limits, self.rng = settings, settings.limits, rng
+                 admission: Admission, returns: Returns, rng: random.Random) -> None:
+        self.settings, self.limits, self.rng, self.returns = settings, settings.limits, rng, returns
         self.list, self.cold, self.crossing, self.admission = members, cold, crossing, admission
         self.began = NEVER  # first answer
-        self.returns = Returns()
 
     def learn(self, now: float, r: Request, a: Attempt, event: i.AttemptEnded, outcome: i.Outcome) -> None:
         """What an outcome teaches of the endpoint, of the class and of the fleet."""
@@ -95,5 +94,6 @@
         since = self.returns.answered(now, e.zone, self.settings.rules.cold_for)
         if since is not None:
             self.cold.presume(now, e.zone, since)
+            self.crossing.returned(e.zone)
         elif e.presumed_at > -NEVER and self.returns.zones[e.zone].judge(ratio):
             self.cold.dispel(now, e.zone)
