--- a/zinclever/fleet/returns.py
+++ b/zinclever/fleet/returns.py
@@ -25,14 +25,13 @@
 class Outage:
     """What one instance has seen of one zone."""
 
-    __slots__ = ("answers", "back_at", "failures", "heard_at", "ratios", "since", "until")
+    __slots__ = ("answers", "back_at", "failures", "heard_at", "ratios", "since")
 
     def __init__(self) -> None:
         self.failures = 0
         self.since = math.inf  # ms: first of the failures
         self.heard_at = self.back_at = -math.inf  # ms: latest answer, latest return
-        self.until = -math.inf  # ms: end of the time in which it is presumed to be cold
-        self.answers, self.ratios = 0, 0.0
+        self.answers, self.ratios = 0, 0.0  # since its return
 
     def failed(self, now: float) -> None:
         """An attempt found no way there."""
@@ -48,29 +47,18 @@
         back = self.out() and now - self.since >= OUT_FOR
         self.failures, self.since, self.heard_at = 0, math.inf, now
         if back:
-            self.back_at = now
+            self.back_at, self.answers, self.ratios = now, 0, 0.0
         return back
 
     def there(self, since: float) -> bool:
         """Whether it has answered since, and not only after an outage of its own."""
         return self.heard_at > since > self.back_at
 
-    def presume(self, now: float, cold_for: float) -> None:
-        """Whatever is there has just started, for so many ms at the most."""
-        self.until = now + cold_for
-        self.answers, self.ratios = 0, 0.0
-
-    def presumed(self, now: float) -> bool:
-        return now < self.until
-
     def judge(self, ratio: float) -> bool:
         """What is presumed to be cold took ``ratio`` times the uncrowded time for an answer; whether that ends it."""
         self.answers += 1
         self.ratios += ratio
-        if self.answers < JUDGED or self.ratios > AS_USUAL * self.answers:
-            return False
-        self.until = -math.inf
-        return True
+        return self.answers >= JUDGED and self.ratios <= AS_USUAL * self.answers
 
 
 class Returns:
@@ -100,12 +88,11 @@
             return "either"
         return "home" if here is (rng.random() < TRIED) else "away"
 
-    def answered(self, now: float, zone: int, cold_for: float) -> float | None:
+    def answered(self, now: float, zone: int) -> float | None:
         """An endpoint of a zone has answered. Where the zone has been out while another answered, since when; what has
         not been heard of since is to be taken for cold. Where all were out the fault is as likely on this side."""
         out = self.outage(zone)
         since = out.since
         if not out.answered(now) or not any(o.there(since) for z, o in self.zones.items() if z != zone):
             return None
-        out.presume(now, cold_for)
         return since
--- a/zinclever/policy/learning.py
+++ b/zinclever/policy/learning.py
@@ -91,7 +91,7 @@
 
         Guards cold endpoints against hundreds of balancers whose lists are late: each sends what a warm one gets.
         """
-        since = self.returns.answered(now, e.zone, self.settings.rules.cold_for)
+        since = self.returns.answered(now, e.zone)
         if since is not None:
             self.cold.presume(now, e.zone, since)
             self.crossing.returned(e.zone)
