--- a/tests/test_collapse.py
+++ b/tests/test_collapse.py
@@ -55,3 +55,9 @@
     found = World(change(draw(kind, 2, **SIZE))).play()
     assert found["breaches"] == [] and found["fallen"] == 0, found
     assert found["worth_in_time"] > least * found["bound"], found
+
+
+def test_cold_servers_stay_up_where_the_warm_ones_are_overrun() -> None:
+    """Found by hunting: 20 sidecars that knew it to be cold pushed one over, with twice what answers tell."""
+    found = World(draw("waves", 216, 40, 10, 30.0)).play()
+    assert found["breaches"] == [] and found["fallen"] == 0, found
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -284,7 +284,7 @@
     assert spans[0] < 0.45 and spans[-1] > 0.5
 
 
-@pytest.mark.parametrize("factor", [1.0, 2.0, 4.0, 8.0])
+@pytest.mark.parametrize("factor", [0.5, 1.0, 2.0, 4.0])
 def test_a_cold_endpoint_is_sent_half_of_what_pushes_it_over_at_most(factor: float) -> None:
     """And, where that is far away, no more than LEAD times its ramp's share of what warm ones answer."""
     rules = replace(RULES, overload_factor=factor)
@@ -297,7 +297,7 @@
     ramp = RULES.cold_share + (1 - RULES.cold_share) * span / RULES.cold_for / 2  # on average
     sent = sum(a.endpoint == "e1" for a in s.sends()[n:])
     most = min(factor / 2, LEAD) * ramp * 8 / 50 / 4 * span
-    assert 0 < sent < 1.4 * most + 2, (sent, most)
+    assert 0 < sent <= most, (sent, most)
 
 
 def test_no_burst_on_a_cold_endpoint_even_as_the_only_one() -> None:
--- a/zinclever/policy/cold.py
+++ b/zinclever/policy/cold.py
@@ -35,8 +35,9 @@
         return self.rules.cold_share + (1.0 - self.rules.cold_share) * age / self.rules.cold_for
 
     def warm_enough(self, now: float, e: Endpoint) -> bool:
-        """A cold endpoint gets its ramp's share of what a warm one of its size answers to this balancer, and LEAD times
-        as much: warm ones answer what is asked, which is less than they could.
+        """A cold endpoint gets LEAD times its ramp's share of what a warm one of its size answers to this balancer.
+
+        Warm ones answer what is asked, which is less than they could.
 
         Answers, not sends: guards against a crowd whose many attempts would set the measure. What is saved
         up starts at a random part of one send, as one each from hundreds of balancers is a burst.
