--- /dev/null
+++ b/zinclever/hive/cli.py
@@ -0,0 +1,99 @@
+"""The command line: each role is a subcommand."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, Protocol
+
+import defopt
+import uvloop
+from pythonjsonlogger.json import JsonFormatter
+
+from .errors import HiveError
+from .roles.boot import VARIABLE, Boot, read
+
+
+class Role(Protocol):
+    async def start(self) -> None: ...
+
+    async def stop(self, grace: float) -> None: ...
+
+
+def forager() -> int:
+    """Run the sidecar beside an endpoint."""
+    from .roles.forager import Forager
+
+    return run(Forager)
+
+
+def comb() -> int:
+    """Run a member of the core."""
+    from .roles.comb import CombRole
+
+    return run(CombRole)
+
+
+def run(make: Callable[[Boot], Role]) -> int:
+    """Run a role until SIGTERM: 0 after an end in order, 2 for settings that can't be used, 1 for an address or a disk
+    that can't be had."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        boot = read_boot()
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(make, boot))
+    except HiveError as wrong:
+        print(f"zinclever: {wrong}", file=sys.stderr)
+        return 2
+    except OSError as wrong:
+        print(f"zinclever: {wrong}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def read_boot() -> Boot:
+    path = os.environ.get(VARIABLE, "")
+    if not path:
+        raise HiveError("BOOT_MISSING", f"{VARIABLE} names no file")
+    try:
+        return read(Path(path).read_bytes())
+    except OSError as wrong:
+        raise HiveError("BOOT_UNREADABLE", str(wrong)) from None
+
+
+async def serve(make: Callable[[Boot], Role], boot: Boot) -> None:
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    role = make(boot)
+    loop.add_signal_handler(signal.SIGHUP, reload, role)
+    await role.start()
+    await ended.wait()
+    await role.stop(boot.bounds.get("GraceS", 6.0))
+
+
+def reload(role: Role) -> None:
+    """The settings file may have changed: its seeds are taken anew; what a process is bound to stays to its end."""
+    try:
+        boot = read_boot()
+    except HiveError as wrong:
+        logging.getLogger(__name__).error("settings not taken", extra={"code": wrong.code, "text": wrong.text})
+        return
+    role_reload: Any = getattr(role, "reload", None)
+    if role_reload is not None:
+        role_reload(boot)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """The exit code of what was asked for."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(name)s %(message)s"))
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
+    commands: list[Callable[[], int | Coroutine[Any, Any, int]]] = [forager, comb]
+    return int(defopt.run(commands, argv=arguments) or 0)
--- /dev/null
+++ b/zinclever/hive/comb/__init__.py
@@ -0,0 +1,1 @@
+"""The one order of changes that all members of a view deliver."""
--- /dev/null
+++ b/zinclever/hive/comb/order.py
@@ -0,0 +1,586 @@
+"""The one order of changes: a member of the view, as a pure machine.
+
+What is settled is one value, the configuration in force and the view, under a number that rises by one with each
+change. One member acts, under an epoch that the others refuse to go below; it proposes the change after the settled
+one, and that one is settled once enough disks have it (:func:`.views.settles`), those of the view before and of the
+view after it where it changes the view. A member that takes over first asks a majority for what they have, puts the
+newest in force anew under its own epoch (stops and trims), and goes on from there.
+
+Instants in s; nothing here depends on the clocks of two machines agreeing. Sources: Viewstamped Replication Revisited
+(Liskov and Cowling, 2012) for the change of views and a member without its disk; Paxos Made Simple (Lamport, 2001) for
+why the newest by epoch of a majority is safe.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from typing import NamedTuple
+
+from ..dance.hive_pb2 import Change, Comb, Seat, Taken
+from .views import agrees, disks, next_view, settles
+
+HELLO_EACH = 0.1  # s between two words of a member to the others
+SILENT = 0.7  # s without a word of the one that acts after which the next in order takes over ...
+STEP = 0.35  # ... and each further one so much later
+STICKY = 0.45  # s since its last word for which nobody helps to replace it
+CUT_OFF = 0.9  # s without a word of a majority after which the one that acts stops acting
+COURT_FOR = 0.5  # s for which a majority is asked before a higher epoch is tried
+AGAIN = 0.15  # s after which what is not answered is said again
+BEHIND = 0.3  # s for which a member lacks what is settled before it is sent whole
+CALL_FOR = 2.5  # s in which a call is settled, or has no clear answer
+REMEMBERED = 256  # changes by which a repeated call is known
+
+
+class Kind(enum.IntEnum):
+    """Messages between members."""
+
+    HELLO = 1
+    COURT = 2
+    PROMISE = 3
+    PROPOSE = 4
+    TAKEN = 5
+    CONFIRM = 6
+    CONFIRMED = 7
+
+
+class Phase(enum.Enum):
+    """What a member is doing."""
+
+    WAITING = "has no view: founds one, or waits to be let in"
+    FOLLOWS = "follows the one that acts"
+    COURTS = "asks the others whether it may act"
+    ACTS = "acts"
+
+
+class Vow(NamedTuple):
+    """The lowest epoch, and whose, that this member still takes part in."""
+
+    epoch: int
+    disk: str
+
+
+class Say(NamedTuple):
+    to: Seat
+    message: Comb
+
+
+class Save(NamedTuple):
+    """Make durable: the vow, and the change if there is one. Answered by :meth:`Order.saved`, in the order of saves."""
+
+    vow: Vow
+    accepted: Change | None
+    token: int
+
+
+class Settle(NamedTuple):
+    """A change is settled: the next one in the order."""
+
+    change: Change
+
+
+class Reply(NamedTuple):
+    """The answer to a call: an HTTP status, and a text."""
+
+    call: int
+    status: int
+    text: bytes
+
+
+Act = Say | Save | Settle | Reply
+
+
+class Proposal(NamedTuple):
+    call: int
+    at: float
+    base: int
+    generation: int
+    text: bytes
+    digest: bytes
+
+
+class Order:
+    """One member. Feed it :meth:`tick`, :meth:`hear`, :meth:`saved` and calls; carry out what is left in ``out``."""
+
+    def __init__(self, me: Seat, founders: list[tuple[str, int]], bootstrap: bool, losses: int, now: float,
+                 vow: Vow | None = None, accepted: Change | None = None) -> None:
+        self.me, self.founders, self.bootstrap, self.losses = me, sorted(founders), bootstrap, losses
+        self.vow = vow or Vow(0, "")
+        self.accepted, self.settled = accepted, Change()
+        self.out: list[Act] = []
+        self.phase = Phase.WAITING
+        self.acting = ""  # disk of the one that acts, as far as is known
+        self.heard_acting = -1e9
+        self.heard: dict[str, float] = {}
+        self.numbers: dict[str, int] = {}  # settled number of each member, as it told
+        self.waiting: dict[str, tuple[Seat, float]] = {}
+        self.hellos: dict[tuple[str, int], Comb] = {}  # the latest of each address
+        self.known: list[tuple[str, int]] = []  # where members may be, besides the founders
+        self.behind: dict[str, float] = {}  # members that lack what is settled, and since when
+        self.token = 0
+        self.after: dict[int, list[Say]] = {}  # what is said once a save is done
+        self.saving: dict[int, Save] = {}
+        self.hello_at = -1e9
+        self.phase_at = now
+        self.epoch = 0  # of the duty that this member has or courts for
+        self.promises: dict[str, Comb] = {}
+        self.proposed: Change | None = None
+        self.proposed_at = 0.0
+        self.have: set[str] = set()  # disks that have what is proposed
+        self.calls: deque[Proposal] = deque()
+        self.current: Proposal | None = None
+        self.round = 0
+        self.reads: dict[int, tuple[int, float, set[str]]] = {}  # by round: call, when, who confirmed
+        if self.view():
+            self.become(Phase.FOLLOWS, now)
+
+    # --- states ---
+
+    def become(self, phase: Phase, now: float) -> None:
+        """The one place where the phase changes."""
+        if phase is not Phase.ACTS and self.phase is Phase.ACTS:
+            self.drop_calls(503)
+        if phase is not Phase.COURTS:
+            self.promises.clear()
+        if phase in (Phase.FOLLOWS, Phase.WAITING):
+            self.proposed = None
+        if phase is Phase.ACTS:
+            self.acting, self.heard_acting = self.me.disk, now
+        elif self.acting == self.me.disk:
+            self.acting = ""
+        self.phase, self.phase_at = phase, now
+
+    def view(self) -> list[Seat]:
+        """The newest view that this member knows of: settled, or at least accepted."""
+        if self.settled.seats:
+            return list(self.settled.seats)
+        return list(self.accepted.seats) if self.accepted is not None else []
+
+    def seated(self) -> bool:
+        known = [*self.settled.seats, *(self.accepted.seats if self.accepted is not None else [])]
+        return self.me.disk in disks(known)
+
+    def others(self) -> list[Seat]:
+        seats = {s.disk: s for s in self.settled.seats}
+        for change in (self.accepted, self.proposed):
+            if change is not None and change.number > self.settled.number:
+                seats.update((s.disk, s) for s in (*change.before, *change.seats))
+        seats.pop(self.me.disk, None)
+        return list(seats.values())
+
+    # --- turns ---
+
+    def tick(self, now: float) -> None:
+        if now - self.hello_at >= HELLO_EACH:
+            self.hello_at = now
+            for seat in self.others():
+                self.say(seat, self.hello())
+        if self.phase is Phase.WAITING:
+            self.found(now)
+        elif self.phase is Phase.FOLLOWS:
+            self.look(now)
+        elif self.phase is Phase.COURTS:
+            if now - self.phase_at > COURT_FOR:
+                self.become(Phase.FOLLOWS, now)
+                self.heard_acting = now - SILENT  # the next in order has its turn, too
+        else:
+            self.lead(now)
+        for call in [c for c in self.calls if now - c.at > CALL_FOR]:
+            self.calls.remove(call)
+            self.out.append(Reply(call.call, 503, b"not settled in time"))
+        if self.current is not None and now - self.current.at > CALL_FOR:
+            self.out.append(Reply(self.current.call, 503, b"not settled in time: it may be yet"))
+            self.current = None
+        for round_, (call_id, at, _) in list(self.reads.items()):
+            if now - at > CALL_FOR / 2:
+                del self.reads[round_]
+                self.out.append(Reply(call_id, 503, b"no majority answers"))
+
+    def hello(self) -> Comb:
+        acts = self.phase is Phase.ACTS
+        return Comb(kind=Kind.HELLO, disk=self.me.disk, epoch=self.epoch if acts else 0, yes=acts,
+                    number=self.settled.number, seat=self.me, bootstrap=self.bootstrap and not self.view())
+
+    def look(self, now: float) -> None:
+        """Whether the one that acts is still heard of; the first live one in order after it takes over."""
+        if not self.seated():
+            return
+        seats = disks(self.view())
+        if self.me.disk not in seats:
+            return
+        start = seats.index(self.acting) if self.acting in seats else -1
+        turn = 0
+        for n in range(1, len(seats) + 1):
+            disk = seats[(start + n) % len(seats)]
+            if disk == self.me.disk:
+                break
+            if now - self.heard.get(disk, -1e9) < SILENT:  # the dead before this one are passed over
+                turn += 1
+        if now - self.heard_acting > SILENT + STEP * turn and now - self.phase_at > STEP * turn:
+            self.court(now)
+
+    def court(self, now: float) -> None:
+        """Ask for the duty under a higher epoch."""
+        self.become(Phase.COURTS, now)
+        self.epoch = self.vow.epoch + 1
+        self.vow = Vow(self.epoch, self.me.disk)
+        mine = self.promise(True, self.epoch)
+        self.save(None, [Say(self.me, mine), *(
+            Say(s, Comb(kind=Kind.COURT, disk=self.me.disk, epoch=self.epoch)) for s in self.others())])
+
+    def lead(self, now: float) -> None:
+        """The duty: what is proposed goes on, members that are behind are told, the view follows who is there."""
+        live = {d for d, at in self.heard.items() if now - at < CUT_OFF} | {self.me.disk}
+        if now - self.phase_at > CUT_OFF and not agrees(self.settled.seats or self.view(), live):
+            self.become(Phase.FOLLOWS, now)
+            self.heard_acting = now
+            return
+        if self.proposed is not None:
+            if now - self.proposed_at > AGAIN:
+                self.proposed_at = now
+                self.offer(self.proposed, self.have)
+            return
+        self.catch_up(now)
+        if self.calls:
+            self.start_call(now)
+        if self.proposed is None:
+            seats = next_view(self.settled, self.me.disk, self.waiting, self.heard, now)
+            if seats is not None:
+                self.propose(now, self.following(seats))
+
+    def catch_up(self, now: float) -> None:
+        """Members that say for a while that they lack what is settled get it whole."""
+        for seat in self.others():
+            if self.numbers.get(seat.disk, 0) >= self.settled.number:
+                self.behind.pop(seat.disk, None)
+            elif now - self.behind.setdefault(seat.disk, now) > BEHIND:
+                self.behind[seat.disk] = now
+                self.say(seat, Comb(kind=Kind.HELLO, disk=self.me.disk, epoch=self.epoch, yes=True, seat=self.me,
+                                    number=self.settled.number, settled=self.settled))
+
+    # --- the first view ---
+
+    def found(self, now: float) -> None:
+        """The first of the founders founds the view, once all of them are there and none knows of one."""
+        if now - self.hello_at < HELLO_EACH / 2:
+            for ip, port in dict.fromkeys([*self.founders, *self.known]):
+                if (ip, port) != (self.me.ip, self.me.port):
+                    self.say(Seat(ip=ip, port=port), self.hello())
+        mine = (self.me.ip, self.me.port)
+        if not self.bootstrap or self.view() or not self.founders or self.founders[0] != mine:
+            return
+        others = [f for f in self.founders if f != mine]
+        told = [self.hellos.get(f) for f in others]
+        if all(h is not None and h.bootstrap for h in told):
+            seats = [self.me, *(h.seat for h in told if h is not None)]
+            self.become(Phase.ACTS, now)
+            self.epoch = 1
+            self.vow = Vow(1, self.me.disk)
+            for seat in seats:
+                self.heard[seat.disk] = now
+            self.propose(now, Change(epoch=1, number=1, seats=seats, founded=len(seats)))
+
+    # --- what comes ---
+
+    def hear(self, now: float, m: Comb) -> None:
+        """A message of another, or of this member to itself."""
+        if m.disk != self.me.disk:
+            self.heard[m.disk] = now
+        if m.kind == Kind.HELLO:
+            self.on_hello(now, m)
+        elif m.kind == Kind.COURT:
+            self.on_court(now, m)
+        elif m.kind == Kind.PROMISE:
+            self.on_promise(now, m)
+        elif m.kind == Kind.PROPOSE:
+            self.on_propose(now, m)
+        elif m.kind == Kind.TAKEN:
+            self.on_taken(now, m)
+        elif m.kind == Kind.CONFIRM:
+            yes = m.epoch >= self.vow.epoch and self.phase is not Phase.COURTS
+            self.answer(m, Comb(kind=Kind.CONFIRMED, disk=self.me.disk, epoch=m.epoch, round=m.round, yes=yes))
+        elif m.kind == Kind.CONFIRMED:
+            self.on_confirmed(m)
+
+    def on_hello(self, now: float, m: Comb) -> None:
+        seat = m.seat
+        if m.disk == self.me.disk:
+            return
+        self.hellos[(seat.ip, seat.port)] = m
+        self.numbers[m.disk] = m.number
+        if m.yes and m.epoch >= self.vow.epoch:
+            self.follow(now, m.disk, m.epoch)
+            if m.HasField("settled"):
+                self.take_settled(now, m.settled)
+            elif self.accepted is not None and (m.number, m.epoch) == (self.accepted.number, self.accepted.epoch):
+                self.deliver(now, self.accepted)
+        if self.phase is Phase.ACTS and m.disk not in disks(self.settled.seats):
+            since = self.waiting.get(m.disk, (seat, now))[1]
+            self.waiting = {d: w for d, w in self.waiting.items() if (w[0].ip, w[0].port) != (seat.ip, seat.port)}
+            self.waiting[m.disk] = (seat, since)
+
+    def follow(self, now: float, disk: str, epoch: int) -> None:
+        """Another acts under an epoch that this member doesn't refuse."""
+        if self.phase in (Phase.ACTS, Phase.COURTS) and epoch > self.epoch:
+            self.become(Phase.FOLLOWS, now)
+        if self.phase is Phase.FOLLOWS or self.phase is Phase.WAITING:
+            self.acting, self.heard_acting = disk, now
+
+    def on_court(self, now: float, m: Comb) -> None:
+        sticky = self.acting not in ("", m.disk) and now - self.heard_acting < STICKY
+        if sticky or m.epoch < self.vow.epoch or (m.epoch == self.vow.epoch and self.vow.disk not in ("", m.disk)):
+            self.answer(m, self.promise(False, m.epoch))
+            return
+        if self.phase in (Phase.ACTS, Phase.COURTS):
+            self.become(Phase.FOLLOWS, now)
+        self.heard_acting = max(self.heard_acting, now - SILENT / 2)
+        self.vow = Vow(m.epoch, m.disk)
+        seat = self.seat_of(m)
+        self.save(None, [Say(seat, self.promise(True, m.epoch))] if seat is not None else [])
+
+    def promise(self, yes: bool, epoch: int) -> Comb:
+        """What this member has; ``accepted`` is put in once the vow is on disk, by :meth:`saved`."""
+        return Comb(kind=Kind.PROMISE, disk=self.me.disk, epoch=epoch, yes=yes, number=self.vow.epoch)
+
+    def on_promise(self, now: float, m: Comb) -> None:
+        if self.phase is not Phase.COURTS or m.epoch != self.epoch:
+            return
+        if not m.yes:
+            if m.number > self.vow.epoch:
+                self.vow = Vow(m.number, "")  # the next try is above it
+            return
+        self.promises[m.disk] = m
+        settled = max([self.settled, *(p.settled for p in self.promises.values())], key=lambda c: c.number)
+        taken = [p.change for p in self.promises.values() if p.HasField("change")]
+        best = max(taken, key=lambda c: (c.number, c.epoch), default=settled)
+        if best.number < settled.number:
+            best = settled
+        if best.number > settled.number:
+            views = [list(v) for v in (best.before, best.seats) if v]
+        else:
+            views = [list(best.seats)] if best.seats else []
+        if not views or not all(agrees(v, self.promises) for v in views):
+            return
+        if settled.number > self.settled.number:
+            self.deliver(now, settled)
+        if self.me.disk not in disks(best.seats):
+            self.become(Phase.FOLLOWS if self.seated() else Phase.WAITING, now)
+            return
+        self.become(Phase.ACTS, now)
+        self.waiting.clear()
+        again = Change()
+        again.CopyFrom(best)
+        again.epoch = self.epoch
+        self.propose(now, again)
+
+    # --- changes ---
+
+    def following(self, seats: list[Seat]) -> Change:
+        """The change after the settled one: another view, and all else as it is."""
+        made = Change()
+        made.CopyFrom(self.settled)
+        made.epoch, made.number = self.epoch, self.settled.number + 1
+        del made.seats[:], made.before[:]
+        made.seats.extend(seats)
+        made.before.extend(self.settled.seats)
+        return made
+
+    def propose(self, now: float, change: Change) -> None:
+        self.proposed, self.proposed_at = change, now
+        self.have = set()
+        self.offer(change, self.have)
+
+    def offer(self, change: Change, have: set[str]) -> None:
+        """To all disks of the view before and after it that don't have it yet."""
+        seats = {s.disk: s for s in (*change.before, *change.seats)}
+        for disk, seat in seats.items():
+            if disk not in have:
+                self.say(seat, Comb(kind=Kind.PROPOSE, disk=self.me.disk, epoch=self.epoch, change=change,
+                                    seat=self.me))
+
+    def on_propose(self, now: float, m: Comb) -> None:
+        change = m.change
+        known = self.vow.disk in ("", m.disk) or m.epoch > self.vow.epoch
+        if m.epoch < self.vow.epoch or not known or (change.number == 1 and self.settled.number):
+            self.answer(m, Comb(kind=Kind.TAKEN, disk=self.me.disk, epoch=m.epoch, number=change.number, yes=False,
+                                round=self.vow.epoch))
+            return
+        if m.disk != self.me.disk:
+            self.follow(now, m.disk, m.epoch)
+        self.vow = Vow(m.epoch, m.disk)
+        answer = Comb(kind=Kind.TAKEN, disk=self.me.disk, epoch=m.epoch, number=change.number, yes=True)
+        seat = self.seat_of(m)
+        self.save(change, [Say(seat, answer)] if seat is not None else [])
+
+    def on_taken(self, now: float, m: Comb) -> None:
+        if not m.yes and m.round > self.epoch and self.phase is Phase.ACTS:
+            self.become(Phase.FOLLOWS, now)
+            return
+        change = self.proposed
+        if self.phase is not Phase.ACTS or change is None or m.epoch != self.epoch or m.number != change.number:
+            return
+        if not m.yes:
+            return
+        self.have.add(m.disk)
+        first = change.number == 1 and not self.settled.number and change.epoch == 1
+        before = change.before if change.number > self.settled.number else []
+        views = [list(v) for v in (before, change.seats) if v]
+        losses = len(change.seats) - 1 if first else self.losses
+        if all(settles(v, self.have, losses) for v in views):
+            self.proposed = None
+            self.deliver(now, change)
+            call, self.current = self.current, None
+            if call is not None:
+                self.out.append(Reply(call.call, 200, b""))
+            self.hello_at = -1e9  # the others hear of it at once
+            if self.phase is Phase.ACTS:
+                self.tick(now)
+
+    def take_settled(self, now: float, change: Change) -> None:
+        """The one that acts says what is settled."""
+        if change.number > self.settled.number:
+            self.deliver(now, change)
+            if self.accepted is None or self.accepted.number < change.number:
+                self.save(change, [])
+
+    def deliver(self, now: float, change: Change) -> None:
+        """The next change in the order is in force here."""
+        if change.number <= self.settled.number:
+            return
+        self.settled = Change()
+        self.settled.CopyFrom(change)
+        for disk in disks(change.seats):
+            self.waiting.pop(disk, None)
+        self.out.append(Settle(change))
+        seated = self.me.disk in disks(change.seats)
+        if self.phase is Phase.WAITING and seated:
+            self.become(Phase.FOLLOWS, now)
+        elif self.phase is not Phase.WAITING and not seated:
+            self.become(Phase.WAITING, now)
+
+    # --- the disk ---
+
+    def save(self, accepted: Change | None, after: list[Say]) -> None:
+        self.token += 1
+        act = Save(self.vow, accepted, self.token)
+        self.after[self.token], self.saving[self.token] = after, act
+        self.out.append(act)
+
+    def saved(self, now: float, token: int, good: bool) -> None:
+        """A save is done, or has failed: then nothing is promised."""
+        act, after = self.saving.pop(token), self.after.pop(token)
+        if good and act.accepted is not None:
+            old = self.accepted
+            if old is None or (act.accepted.number, act.accepted.epoch) >= (old.number, old.epoch):
+                self.accepted = act.accepted
+        if good and self.phase is Phase.WAITING and self.seated():
+            self.become(Phase.FOLLOWS, now)
+        for say in after:
+            m = say.message
+            if not good:
+                if m.kind == Kind.COURT or not m.yes:
+                    continue
+                m.yes = False
+            if m.kind == Kind.PROMISE and m.yes:
+                if self.accepted is not None:
+                    m.change.CopyFrom(self.accepted)
+                m.settled.CopyFrom(self.settled)
+            if m.kind in (Kind.TAKEN, Kind.PROMISE) and m.epoch < self.vow.epoch:
+                m.yes = False
+            self.say(say.to, m)
+
+    # --- calls ---
+
+    def put(self, now: float, call: int, base: int, generation: int, text: bytes, digest: bytes) -> None:
+        """A checked configuration of an operator, on top of version ``base``."""
+        if self.phase is not Phase.ACTS:
+            self.out.append(Reply(call, 503, b"does not act"))
+            return
+        self.calls.append(Proposal(call, now, base, generation, text, digest))
+        if self.proposed is None:
+            self.start_call(now)
+
+    def start_call(self, now: float) -> None:
+        while self.calls and self.proposed is None:
+            call = self.calls.popleft()
+            status, text = self.judge(call)
+            if status:
+                self.out.append(Reply(call.call, status, text))
+                continue
+            made = self.following(list(self.settled.seats))
+            made.text, made.generation = call.text, call.generation
+            made.taken.append(Taken(generation=call.generation, base=call.base, digest=call.digest))
+            del made.taken[:-REMEMBERED]
+            self.current = call
+            self.propose(now, made)
+
+    def judge(self, call: Proposal) -> tuple[int, bytes]:
+        """A status where a call is answered without a change; 0 where it is to be proposed."""
+        for taken in self.settled.taken:
+            if taken.digest == call.digest and taken.generation == call.generation and taken.base == call.base:
+                return 200, b""  # the same change again
+        if call.base != self.settled.generation:
+            return 412, b"another version is current: %d" % self.settled.generation
+        if call.generation <= self.settled.generation:
+            return 400, b"Generation is not above the current one, %d" % self.settled.generation
+        return 0, b""
+
+    def get(self, now: float, call: int) -> None:
+        """The newest configuration, once a majority confirms that no other acts."""
+        if self.phase is not Phase.ACTS or self.proposed_is_old():
+            self.out.append(Reply(call, 503, b"does not act"))
+            return
+        self.round += 1
+        self.reads[self.round] = (call, now, set())
+        for seat in self.others():
+            self.say(seat, Comb(kind=Kind.CONFIRM, disk=self.me.disk, epoch=self.epoch, round=self.round,
+                                seat=self.me))
+        self.on_confirmed(Comb(kind=Kind.CONFIRMED, disk=self.me.disk, round=self.round, epoch=self.epoch, yes=True))
+
+    def proposed_is_old(self) -> bool:
+        """What was found at the take-over is not settled yet: it may have been acknowledged by another."""
+        return self.proposed is not None and self.current is None
+
+    def on_confirmed(self, m: Comb) -> None:
+        if m.round not in self.reads or m.epoch != self.epoch or not m.yes:
+            return
+        call, _, who = self.reads[m.round]
+        who.add(m.disk)
+        if agrees(self.settled.seats, who):
+            del self.reads[m.round]
+            if self.settled.generation:
+                self.out.append(Reply(call, 200, self.settled.text))
+            else:
+                self.out.append(Reply(call, 404, b"there is none yet"))
+
+    def drop_calls(self, status: int) -> None:
+        """This member acts no more: calls have no clear answer here."""
+        for call in [*self.calls, *([self.current] if self.current is not None else [])]:
+            self.out.append(Reply(call.call, status, b"does not act any more: it may be settled"))
+        self.calls.clear()
+        self.current = None
+        for call_id, _, _ in self.reads.values():
+            self.out.append(Reply(call_id, status, b"does not act any more"))
+        self.reads.clear()
+
+    # --- helpers ---
+
+    def seat_of(self, m: Comb) -> Seat | None:
+        """Where to answer a message."""
+        if m.disk == self.me.disk:
+            return self.me
+        if m.HasField("seat"):
+            return m.seat
+        for s in (*self.settled.seats, *(self.accepted.seats if self.accepted is not None else [])):
+            if s.disk == m.disk:
+                return s
+        told = next((h.seat for h in self.hellos.values() if h.disk == m.disk), None)
+        return told
+
+    def answer(self, m: Comb, made: Comb) -> None:
+        seat = self.seat_of(m)
+        if seat is not None:
+            self.say(seat, made)
+
+    def say(self, to: Seat, m: Comb) -> None:
+        self.out.append(Say(to, m))
--- /dev/null
+++ b/zinclever/hive/comb/store.py
@@ -0,0 +1,73 @@
+"""What a member keeps on its disk: who it is, its vow, and the change that it has. Saves are made one after another."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from ..dance.hive_pb2 import Change
+from ..wax.generations import Files, Generations
+from .order import Save, Vow
+
+log = logging.getLogger(__name__)
+
+
+class Store:
+    """Owns the folder's files and the one thread that writes them."""
+
+    def __init__(self, folder: Path, files: Files | None = None) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self.vows, self.changes = Generations(folder, "vow", files), Generations(folder, "comb", files)
+        self.thread = ThreadPoolExecutor(1, thread_name_prefix="wax")
+        self.loop = asyncio.get_running_loop()
+        self.disk = ""
+        self.vow = Vow(0, "")
+        self.change: Change | None = None
+        self.full = False
+
+    def load(self) -> None:
+        """Read what is there; a disk that holds nothing gets an identity of its own. OSError where it can't be used."""
+        told = self.vows.load()
+        kept = self.changes.load()
+        if told is not None:
+            self.disk = told[b"disk"].decode()
+            epoch, _, whose = told[b"vow"].decode().partition(" ")
+            self.vow = Vow(int(epoch), whose)
+        if kept is not None and told is not None:
+            self.change = Change.FromString(kept[b"change"])
+        if not self.disk:
+            self.disk = uuid.uuid4().hex
+            self.write_vow(self.vow)
+
+    def write_vow(self, vow: Vow) -> None:
+        self.vows.save({b"disk": self.disk.encode(), b"vow": f"{vow.epoch} {vow.disk}".encode()})
+        self.vow = vow
+
+    def write(self, act: Save) -> None:
+        """A change holds a vow for its own epoch: only a higher one is written by itself."""
+        if act.vow != self.vow:
+            self.write_vow(act.vow)
+        if act.accepted is not None:
+            self.changes.save({b"change": act.accepted.SerializeToString()})
+
+    def save(self, act: Save, done: Callable[[int, bool], None]) -> None:
+        """Write in the thread, after the saves before; ``done`` is called on the loop."""
+        self.loop.run_in_executor(self.thread, self.write, act).add_done_callback(
+            lambda f: done(act.token, self.judge(f.exception()))
+        )
+
+    def judge(self, wrong: BaseException | None) -> bool:
+        if wrong is not None and not isinstance(wrong, OSError):
+            log.error("not saved", exc_info=wrong, extra={"code": "DISK_FAILED"})
+        elif (wrong is not None) != self.full:
+            self.full = wrong is not None
+            log.warning("the disk takes nothing" if self.full else "the disk takes changes again",
+                        extra={"code": "DISK_REFUSES", "error": str(wrong)})
+        return wrong is None
+
+    def close(self) -> None:
+        self.thread.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/zinclever/hive/dance/links.py
@@ -0,0 +1,259 @@
+"""Links: frames over TCP between two processes of the mesh. A frame is its length in four bytes, then protobuf."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import cast
+
+from google.protobuf.message import DecodeError
+
+from ...core.protocol import Address
+from .hive_pb2 import Frame
+
+log = logging.getLogger(__name__)
+
+MOST_FRAME = 24 << 20  # bytes: a configuration of a few MB twice in one change
+DIAL_FOR = 0.6  # s in which a link comes up: loopback-like nets take ms, a machine without power never answers
+SILENT_FOR = 1.0  # s without a byte, while something is asked, after which a link counts as lost
+PING_EACH = 0.25  # s between two looks at links on which something is asked
+LENGTH = 4
+
+OnFrame = Callable[["Link", Frame], None]
+OnLost = Callable[["Link"], None]
+
+
+class Link(asyncio.Protocol):
+    """One end of a link. What comes is handed on frame by frame; a text that is none ends it."""
+
+    def __init__(self, on_frame: OnFrame, on_lost: OnLost) -> None:
+        self.on_frame, self.on_lost = on_frame, on_lost
+        self.loop = asyncio.get_running_loop()
+        self.buffer = bytearray()
+        self.heard_at = self.loop.time()
+        self.lost = False
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def data_received(self, data: bytes) -> None:
+        self.heard_at = self.loop.time()
+        buffer = self.buffer
+        buffer += data
+        at = 0
+        while len(buffer) - at >= LENGTH:
+            size = int.from_bytes(buffer[at : at + LENGTH], "big")
+            if size > MOST_FRAME:
+                log.warning("frame too long", extra={"code": "LINK_FRAME", "bytes": size})
+                self.end()
+                return
+            if len(buffer) - at - LENGTH < size:
+                break
+            text = bytes(buffer[at + LENGTH : at + LENGTH + size])
+            at += LENGTH + size
+            try:
+                frame = Frame.FromString(text)
+            except DecodeError:
+                log.warning("no frame of the mesh", extra={"code": "LINK_FOREIGN"})
+                self.end()
+                return
+            what = frame.WhichOneof("what")
+            if what == "ping":
+                self.send(Frame(pong=frame.ping))
+            elif what != "pong":
+                self.on_frame(self, frame)
+            if self.lost:
+                return
+        if at:
+            del buffer[:at]
+
+    def send(self, frame: Frame) -> None:
+        """Hand a frame to the kernel or, as far as it has no room, to the transport."""
+        if self.transport is not None and not self.lost:
+            text = frame.SerializeToString()
+            self.transport.write(len(text).to_bytes(LENGTH, "big") + text)
+
+    def end(self) -> None:
+        """Close at once; the owner is told as of any other loss."""
+        if self.transport is not None:
+            self.transport.abort()
+        self.gone()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.gone()
+
+    def gone(self) -> None:
+        if not self.lost:
+            self.lost = True
+            self.buffer.clear()
+            self.on_lost(self)
+
+
+#: Told of each frame that answers a call, and with None once if the link is lost before the last of them.
+OnAnswer = Callable[[Frame | None], None]
+
+
+class Line:
+    """The calling end towards one address: a link that is dialled when something is asked, and the calls on it.
+
+    Owns its link. A call is told apart by its stream; its answers come until :meth:`over` is called for it.
+    """
+
+    def __init__(self, address: Address, hello: str) -> None:
+        self.address, self.hello = address, hello
+        self.loop = asyncio.get_running_loop()
+        self.link: Link | None = None
+        self.calls: dict[int, OnAnswer] = {}
+        self.waiting: list[tuple[Frame, OnAnswer, Callable[[], None] | None]] = []
+        self.streams = 0
+        self.dialling: asyncio.Task[None] | None = None
+        self.watch: asyncio.TimerHandle | None = None
+        self.failed_at = -1e9  # when a dial failed last
+
+    def call(self, frame: Frame, answer: OnAnswer, sent: Callable[[], None] | None = None) -> int:
+        """Ask something; the number of its stream. ``sent``: called just before the frame goes out on a link: until
+        then it can't have arrived. ``answer`` is never called from within."""
+        self.streams += 1
+        frame.stream = self.streams
+        if self.link is not None:
+            self.put(frame, answer, sent)
+        else:
+            self.waiting.append((frame, answer, sent))
+            if self.dialling is None:
+                self.dialling = self.loop.create_task(self.dial())
+        return self.streams
+
+    def put(self, frame: Frame, answer: OnAnswer, sent: Callable[[], None] | None) -> None:
+        assert self.link is not None
+        if not self.calls:
+            self.link.heard_at = self.loop.time()
+        self.calls[frame.stream] = answer
+        if sent is not None:
+            sent()
+        self.link.send(frame)
+        if self.watch is None:
+            self.watch = self.loop.call_later(PING_EACH, self.look)
+
+    def tell(self, frame: Frame) -> None:
+        """Say something that has no answer; lost where there is no link and it isn't one that is being dialled."""
+        if self.link is not None:
+            self.link.send(frame)
+        elif len(self.waiting) < 64:
+            self.waiting.append((frame, nobody, None))
+            if self.dialling is None:
+                self.dialling = self.loop.create_task(self.dial())
+
+    def more(self, frame: Frame) -> None:
+        """A further frame of a call that is out."""
+        if self.link is not None:
+            self.link.send(frame)
+
+    def follow(self, frame: Frame) -> None:
+        """A further frame of a call that may still wait for its link."""
+        if self.link is not None:
+            self.link.send(frame)
+        elif self.waiting:
+            self.waiting.append((frame, nobody, None))
+
+    def over(self, stream: int) -> bool:
+        """A call needs no more answers; whether it was out on a link."""
+        if self.calls.pop(stream, None) is not None:
+            return True
+        self.waiting = [w for w in self.waiting if w[0].stream != stream]
+        return False
+
+    def look(self) -> None:
+        """Whether the other end still says something while it is asked."""
+        self.watch = None
+        link = self.link
+        if link is None or not self.calls:
+            return
+        silent = self.loop.time() - link.heard_at
+        if silent > SILENT_FOR:
+            log.warning("link fell silent", extra={"code": "LINK_SILENT", "peer": self.address[0]})
+            link.end()
+            return
+        if silent >= PING_EACH:
+            link.send(Frame(ping=1))
+        self.watch = self.loop.call_later(PING_EACH, self.look)
+
+    async def dial(self) -> None:
+        try:
+            async with asyncio.timeout(DIAL_FOR):
+                _, link = await self.loop.create_connection(lambda: Link(self.on_frame, self.on_lost), *self.address)
+        except OSError:
+            self.dialling = None
+            self.failed_at = self.loop.time()
+            waiting, self.waiting = self.waiting, []
+            for _, answer, _ in waiting:
+                answer(None)
+            return
+        self.dialling = None
+        if link.lost:
+            waiting, self.waiting = self.waiting, []
+            for _, answer, _ in waiting:
+                answer(None)
+            return
+        self.link = link
+        link.send(Frame(hello=self.hello))
+        waiting, self.waiting = self.waiting, []
+        for frame, answer, sent in waiting:
+            if answer is nobody:
+                link.send(frame)
+            else:
+                self.put(frame, answer, sent)
+
+    def on_frame(self, link: Link, frame: Frame) -> None:
+        answer = self.calls.get(frame.stream)
+        if answer is not None:
+            answer(frame)
+
+    def on_lost(self, link: Link) -> None:
+        if link is self.link:
+            self.link = None
+            calls, self.calls = self.calls, {}
+            for answer in calls.values():
+                answer(None)
+
+    def close(self) -> None:
+        """At the end: what is out is told as lost."""
+        if self.dialling is not None:
+            self.dialling.cancel()
+        if self.watch is not None:
+            self.watch.cancel()
+        if self.link is not None:
+            self.link.end()
+
+
+def nobody(frame: Frame | None) -> None:
+    """Takes the answer to what was merely told."""
+
+
+class Lines:
+    """The lines of a process, by address."""
+
+    def __init__(self, hello: str) -> None:
+        self.hello = hello
+        self.lines: dict[Address, Line] = {}
+
+    def to(self, address: Address) -> Line:
+        line = self.lines.get(address)
+        if line is None:
+            line = self.lines[address] = Line(address, self.hello)
+        return line
+
+    def drop(self, address: Address) -> None:
+        """Nobody is there any more."""
+        line = self.lines.pop(address, None)
+        if line is not None:
+            line.close()
+
+    def close(self) -> None:
+        for line in self.lines.values():
+            line.close()
+        self.lines.clear()
--- /dev/null
+++ b/zinclever/hive/forage/egress.py
@@ -0,0 +1,141 @@
+"""Where requests of this machine come in: each is looked up in the configuration in force and goes out on its way."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from ...core.counts import Replies
+from ...core.descriptors import Descriptors
+from ...core.host import Host
+from ...core.protocol import Final, Incoming, Refused, Served
+from ...http1.bodies import Body
+from ...http1.connection import OWN_HEADERS, Headers, end_to_end
+from ...http1.desk import Desk
+from ...http1.heads import NUMBER, Answer
+from ..honey.pantry import Pantry
+from ..honey.recipe import Route
+from .flights import Flights
+from .hop import Order, Reply
+
+log = logging.getLogger(__name__)
+
+OURS = OWN_HEADERS | {b"x-deadline-ms", b"x-expected-endpoint", b"x-caller-service"}
+TO_CLIENTS = OWN_HEADERS
+FOREVER = 3600.0  # s: nobody waits for longer
+ADVICE = 0.08  # of the aim: the least after which a refused request is to come back
+
+
+class Egress(Desk):
+    """Takes the requests of this machine's clients and of its endpoint."""
+
+    def __init__(self, descriptors: Descriptors, host: Host, pantry: Pantry, flights: Flights, service: str) -> None:
+        super().__init__(descriptors)
+        self.host, self.pantry, self.flights = host, pantry, flights
+        self.caller = b"X-Caller-Service: %b\r\n" % service.encode("latin-1")
+        self.whole_only = True
+        self.number = 0
+        self.open: dict[str, Order] = {}
+        self.turns: dict[str, dict[str, float]] = {}
+        self.counted = Replies()
+        self.counts = {"served": 0, "refused": 0, "failed": 0, "unknown": 0, "left": 0}
+
+    def read(self, method: str, target: str, headers: Headers, body: bytes | Body, waited: float) -> Incoming:
+        assert isinstance(body, bytes)
+        host, request_id, told = b"", b"", b""
+        for name, value in headers:
+            low = name.lower()
+            if low == b"host":
+                host = value
+            elif low == b"x-attempt-id":
+                request_id = request_id or value
+            elif low == b"x-deadline-ms":
+                told = told or value
+        self.number += 1
+        number = str(self.number)
+        recipe = self.pantry.recipe
+        if recipe is None:
+            return answered(number, Answer(503, b"Retry-After: 0.2\r\n"))
+        route = recipe.find(host.decode("latin-1").lower().partition(":")[0], target.partition("?")[0])
+        if route is None:
+            self.counts["unknown"] += 1
+            return answered(number, Answer(404))
+        if not request_id or len(request_id) > 256:
+            return answered(number, Answer(400))
+        wait = min(FOREVER, float(told) / 1000.0) if told and NUMBER.fullmatch(told) else FOREVER
+        deadline = route.deadline
+        wait = max(0.001, min(wait, deadline) - waited / 1000.0)
+        service = self.choose(route)
+        now = self.loop.time()
+        head = b"%b %b HTTP/1.1\r\n%b%b" % (
+            method.encode(), target.encode("latin-1"), end_to_end(headers, OURS), self.caller)
+        order = Order(
+            service, request_id.decode("latin-1"), head, body, method not in ("GET", "HEAD") or bool(body),
+            route.safe, int(route.priority), now + route.aim, route.attempts, now,
+        )
+        flight = self.flights.to(service)
+        return Incoming(number, flight.klass(route, deadline), 0, "", 1000.0 * wait, 0.0, False, order)
+
+    def choose(self, route: Route) -> str:
+        """The service of a request: weighted targets take turns, so that their parts are kept at any count."""
+        if len(route.targets) == 1:
+            return route.targets[0][0]
+        turns = self.turns.get(route.name)
+        if turns is None or set(turns) != {t for t, _ in route.targets}:
+            turns = self.turns[route.name] = {t: self.host.random().random() for t, _ in route.targets}
+        for target, weight in route.targets:
+            turns[target] += weight
+        chosen = max(turns, key=lambda t: turns[t])
+        turns[chosen] -= 1.0
+        return chosen
+
+    def take(self, told: Incoming, answer: Callable[[Final | Answer], None]) -> None:
+        order = told.payload
+        if isinstance(order, Answer):
+            answer(order)
+            return
+        flight = self.flights.to(order.service)
+        flight.thrift.ask(self.loop.time())
+        self.open[told.id] = order
+
+        def final(made: Final) -> None:
+            self.open.pop(told.id, None)
+            answer(self.word(order, made))
+
+        flight.ledger.take(told, final)
+
+    def word(self, order: Order, made: Final) -> Answer:
+        """The final answer as the client gets it."""
+        if isinstance(made, Served):
+            reply: Reply = made.reply
+            self.counts["served"] += 1
+            return Answer(reply.status, end_to_end(reply.headers, TO_CLIENTS), reply.body)
+        if isinstance(made, Refused) and not order.ran:
+            self.counts["refused"] += 1
+            return Answer(503, b"Retry-After: %.3f\r\n" % max(0.02, made.retry_after / 1000.0, self.advice(order)))
+        self.counts["failed"] += 1
+        if made.reply is not None:
+            return Answer(made.reply.status, end_to_end(made.reply.headers, TO_CLIENTS), made.reply.body)
+        return Answer(502)
+
+    def advice(self, order: Order) -> float:
+        """s after which one that has not run may come back: in a part of its aim, while there is still use in it."""
+        return ADVICE * max(0.0, order.aim_at - order.since)
+
+    def abandon(self, request_id: str) -> None:
+        order = self.open.pop(request_id, None)
+        if order is not None:
+            self.counts["left"] += 1
+            self.flights.to(order.service).ledger.leave(request_id)
+
+    def replies(self, told: Incoming) -> Replies:
+        return self.counted
+
+    def unread(self, sock: Any) -> bool:
+        return self.host.unread(sock)
+
+
+def answered(number: str, answer: Answer) -> Incoming:
+    """A request that goes nowhere."""
+    return Incoming(number, 0, 0, "", 0.0, 0.0, False, answer)
--- /dev/null
+++ b/zinclever/hive/forage/hop.py
@@ -0,0 +1,207 @@
+"""The hop to the sidecar beside an endpoint, as a wire of the ledger: attempts go out on links, verdicts come back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from ...core.protocol import Address, Ended
+from ...fleet.limits import Connections
+from ..dance.hive_pb2 import Frame, Load, Piece, Yield
+from ..dance.links import Line
+from ..verdict import Verdict
+from .keeper import Job, Keeper
+from .thrift import Thrift
+
+WHOLE = 64 * 1024  # bytes of a body that go in one frame: a longer one leaves room for others between its pieces
+
+FULL: Sequence[int] = (Verdict.NEVER, Verdict.FULL)
+
+
+class Order:
+    """What goes to an endpoint for one request, and what is known of its attempts."""
+
+    __slots__ = ("aim_at", "body", "framed", "head", "id", "most", "offered", "priority", "ran", "safe", "service",
+                 "since", "why")
+
+    def __init__(self, service: str, id: str, head: bytes, body: bytes, framed: bool, safe: bool, priority: int,
+                 aim_at: float, most: int, since: float) -> None:
+        self.service, self.id, self.head, self.body, self.framed = service, id, head, body, framed
+        self.safe, self.priority, self.aim_at, self.most, self.since = safe, priority, aim_at, most, since
+        self.offered = 0
+        """Attempts that an endpoint had, or may have had."""
+        self.ran = False
+        """One of them may have run."""
+        self.why = ""
+
+
+class Reply(NamedTuple):
+    """An endpoint's answer, as it came over the hop."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Hop:
+    """One attempt: an :class:`~zinclever.core.protocol.Exchange`."""
+
+    __slots__ = ("body", "counted", "ended", "job", "line", "order", "sent", "stream", "wanted", "wire", "yielded")
+
+    def __init__(self, wire: HopWire, order: Order, ended: Ended) -> None:
+        self.wire, self.order = wire, order
+        self.ended: Ended | None = ended
+        self.job: Job | None = None
+        self.line: Line | None = None
+        self.stream = 0
+        self.sent = False
+        self.counted = False
+        """It stands in the budget as a further try."""
+        self.yielded: Yield | None = None
+        self.body: list[bytes] = []
+        self.wanted = 0
+
+    def begun(self) -> bool:
+        return self.sent
+
+    def cancel(self, silent: bool) -> None:
+        if self.ended is None:
+            return
+        self.ended = None
+        if self.sent:
+            self.order.ran = True  # it may yet, until its keeper has heard
+        if self.job is not None:
+            self.wire.keeper.cancel(self.job)
+        elif self.line is not None:
+            if self.line.over(self.stream):
+                self.line.more(Frame(stream=self.stream, cancel=True))
+            else:
+                self.wire.take_back(self)
+
+    def on_sent(self) -> None:
+        self.sent = True
+
+    def on_frame(self, frame: Frame | None) -> None:
+        """From the line: an answer, a piece of it, or that the link is lost."""
+        if frame is None:
+            self.end(Yield(verdict=Verdict.MAYBE if self.sent else Verdict.NEVER,
+                           why="link lost" if self.sent else "no link", offered=self.sent))
+            return
+        what = frame.WhichOneof("what")
+        if what == "gives":
+            made = frame.gives
+            if made.length <= len(made.body):
+                self.end(made)
+            else:
+                self.yielded, self.body, self.wanted = made, [made.body], made.length - len(made.body)
+        elif what == "piece" and self.yielded is not None:
+            self.body.append(frame.piece.data)
+            self.wanted -= len(frame.piece.data)
+            if self.wanted <= 0:
+                self.yielded.body = b"".join(self.body)
+                self.end(self.yielded)
+
+    def end(self, made: Yield) -> None:
+        """The keeper's verdict, once."""
+        ended, self.ended = self.ended, None
+        if self.line is not None:
+            self.line.over(self.stream)
+        if ended is None:
+            return
+        order = self.order
+        if not made.offered:
+            self.wire.take_back(self)
+        order.why = made.why or order.why
+        verdict = Verdict(made.verdict) if made.verdict in (1, 2, 3, 4) else Verdict.MAYBE
+        if verdict.proves_not_run:
+            ended("connect_failed" if made.why == "no link" else "full")
+            return
+        order.ran = True
+        if verdict is Verdict.MAYBE:
+            ended("reset")
+            return
+        reply = Reply(made.status, [(h.name, h.value) for h in made.headers], made.body)
+        ended("served" if made.status < 500 else "error", reply)
+
+
+class HopWire:
+    """A :class:`~zinclever.core.protocol.Wire` for the endpoints of one service: each is reached through its keeper."""
+
+    def __init__(self, me: Address, keeper: Keeper, line: Callable[[Address], Line], thrift: Thrift) -> None:
+        self.me, self.keeper, self.line, self.thrift = me, keeper, line, thrift
+        self.loop = asyncio.get_running_loop()
+        self.places: dict[str, Address] = {}
+        self.counts = {"sent": 0, "copies": 0, "short": 0}
+
+    def configure(self, connect_timeout: float, idle_limit: float, connections: Connections) -> None:
+        """Links have their own bounds."""
+
+    def place(self, endpoint: str, address: Address) -> None:
+        self.places[endpoint] = address
+
+    def drain(self, endpoint: str) -> None:
+        """Its keeper turns back what has not begun."""
+
+    def forget(self, endpoint: str) -> None:
+        self.places.pop(endpoint, None)
+
+    def listed(self) -> Sequence[str]:
+        return list(self.places)
+
+    def close_idle(self, endpoint: str) -> None:
+        """Links are shared by all endpoints behind them."""
+
+    def close(self) -> None:
+        """The links are the colony's."""
+
+    def start(self, endpoint: str, payload: Order, left: float, ended: Ended, unsafe: bool) -> Hop:
+        order = payload
+        hop = Hop(self, order, ended)
+        now = self.loop.time()
+        address = self.places.get(endpoint)
+        if address is None:
+            self.loop.call_soon(hop.end, Yield(verdict=Verdict.NEVER, why="no link"))
+            return hop
+        if order.offered:
+            if order.offered >= order.most or not self.thrift.may(now):
+                self.counts["short"] += 1
+                self.loop.call_soon(self.give_up, hop)
+                return hop
+            self.thrift.spend(now)
+            hop.counted = True
+            self.counts["copies"] += 1
+        order.offered += 1
+        self.counts["sent"] += 1
+        load = Load(
+            endpoint=endpoint, head=order.head, framed=order.framed, left_ms=max(1, int(1000 * left)),
+            aim_ms=max(0, int(1000 * (order.aim_at - now))), priority=order.priority, safe=order.safe, id=order.id,
+            length=len(order.body),
+        )
+        if address == self.me:
+            self.loop.call_soon(self.start_here, hop, load)
+            return hop
+        hop.line = self.line(address)
+        load.body = order.body[:WHOLE]
+        hop.stream = hop.line.call(Frame(load=load), hop.on_frame, hop.on_sent)
+        for at in range(WHOLE, len(order.body), WHOLE):
+            hop.line.follow(Frame(stream=hop.stream, piece=Piece(data=order.body[at : at + WHOLE])))
+        return hop
+
+    def start_here(self, hop: Hop, load: Load) -> None:
+        """The endpoint is on this very machine."""
+        if hop.ended is not None:
+            hop.sent = True
+            hop.job = self.keeper.offer(load, hop.order.body, hop.end)
+
+    def give_up(self, hop: Hop) -> None:
+        ended, hop.ended = hop.ended, None
+        if ended is not None:
+            ended("not_sent")
+
+    def take_back(self, hop: Hop) -> None:
+        """It has reached no endpoint."""
+        hop.order.offered -= 1
+        if hop.counted:
+            hop.counted = False
+            self.thrift.refund(self.loop.time())
--- /dev/null
+++ b/zinclever/hive/forage/keeper.py
@@ -0,0 +1,227 @@
+"""The keeper of the endpoint beside this sidecar: the only way to it, and the place where what must hold there is kept.
+
+An endpoint that drains or has gone gets nothing more, whoever asks; no other life of it gets a request meant for one;
+no more is sent to it at a time than it works on; and what is given up is ended there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+from ... import interface as i
+from ...core.descriptors import Descriptors
+from ...core.host import Host
+from ...core.pools import ExclusivePools
+from ...core.protocol import Address
+from ...fleet.limits import Connections
+from ...http1.connection import Broken, ClientConnection, Reply, dial
+from ...http1.wire import Exchange
+from ..dance.hive_pb2 import Header, Load, Yield
+from ..verdict import Verdict
+from .queue import Queue, Waiting
+
+MOST_ANSWER = 16 << 20  # bytes of an answer, held whole: half an answer is never passed on
+PATIENT = 120.0  # s between two pieces of an answer: its time is bounded by the deadline alone
+CONNECT_FOR = 400.0  # ms
+IDLE_FOR = 9000.0  # ms for which an endpoint is taken to keep an idle connection until it says
+TAIL = b"X-Expected-Endpoint: %b\r\nX-Deadline-Ms: %d\r\n"
+
+Answer = Callable[[Yield], None]
+
+
+class Visit(Exchange):
+    """One request at the endpoint. What is no answer of its own proves nothing."""
+
+    __slots__ = ("id",)
+
+    id: bytes
+
+    def done(self, result: Reply | Broken) -> None:
+        if isinstance(result, Broken):
+            self.end("dropped" if result.unsent else "reset")
+        elif result.header(b"x-attempt-id") != self.id:
+            if self.connection is not None:
+                self.connection.abort()  # an answer to another request: what follows on it is no better
+            self.end("reset")
+        else:
+            self.end("error", result)
+
+
+class Job(Waiting):
+    """A load at this keeper, until it is answered or given up."""
+
+    __slots__ = ("answer", "body", "exchange", "load", "queue", "timer")
+
+    def __init__(self, load: Load, body: bytes, answer: Answer, now: float, queue: Queue) -> None:
+        super().__init__(now, load.left_ms / 1000.0, load.aim_ms / 1000.0, load.priority)
+        self.load, self.body, self.queue = load, body, queue
+        self.answer: Answer | None = answer
+        self.exchange: Visit | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Keeper:
+    """Owns the connections to the endpoint, and each job until its answer is told."""
+
+    def __init__(self, host: Host, descriptors: Descriptors) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.pools: ExclusivePools[ClientConnection] = ExclusivePools(
+            partial(dial, host, most_body=MOST_ANSWER, stall=PATIENT), descriptors)
+        connections = Connections(host.random())
+        connections.configure(i.Shares(), 1, 0, 0)
+        self.pools.configure(CONNECT_FOR, IDLE_FOR, connections)
+        self.endpoint = ""
+        self.open = False
+        """The endpoint takes new requests."""
+        self.queue = Queue(1)
+        self.jobs: set[Job] = set()
+        self.refused: Callable[[], None] | None = None
+        """Told when nobody listens at the endpoint's address."""
+        self.counts = {"offered": 0, "ran": 0, "full": 0, "maybe": 0, "gone": 0}
+
+    # --- which endpoint there is ---
+
+    def admit(self, endpoint: str, address: Address, slots: int) -> None:
+        """The endpoint there is from now on."""
+        if endpoint != self.endpoint:
+            self.close()
+            if self.endpoint:
+                self.pools.forget(self.endpoint)
+            self.endpoint = endpoint
+            self.queue = Queue(slots)
+        self.pools.place(endpoint, address)
+        self.queue.slots = slots
+        self.open = True
+        self.move()
+
+    def close(self) -> None:
+        """The endpoint takes nothing new: what has not begun may go elsewhere."""
+        self.open = False
+        for job in [j for j in self.queue.waiting if isinstance(j, Job)]:
+            self.turn_back(job, Verdict.NEVER, "draining")
+
+    def forget(self) -> None:
+        """It has gone."""
+        self.close()
+        self.pools.forget(self.endpoint)
+        self.endpoint = ""
+
+    # --- jobs ---
+
+    def offer(self, load: Load, body: bytes, answer: Answer) -> Job | None:
+        """A request for the endpoint; ``answer`` is called once unless :meth:`cancel` comes before, maybe at once."""
+        now = self.loop.time()
+        job = Job(load, body, answer, now, self.queue)
+        if load.endpoint != self.endpoint or not self.open:
+            self.counts["gone"] += 1
+            self.tell(job, Yield(verdict=Verdict.NEVER, why="gone"))
+            return None
+        if not self.queue.admits(now, job):
+            self.counts["full"] += 1
+            self.tell(job, Yield(verdict=Verdict.FULL, why="queue"))
+            return None
+        self.jobs.add(job)
+        self.queue.add(job)
+        job.timer = self.loop.call_later(job.left, self.expire, job)
+        self.move()
+        return job
+
+    def move(self) -> None:
+        """Begin what there is room for."""
+        while self.open:
+            job = self.queue.next(self.loop.time())
+            if job is None:
+                break
+            assert isinstance(job, Job)
+            self.begin(job)
+        for late in self.queue.hopeless(self.loop.time()):
+            assert isinstance(late, Job)
+            self.turn_back(late, Verdict.FULL, "late")
+
+    def begin(self, job: Job) -> None:
+        load = job.load
+        left = job.since + job.left - self.loop.time()
+        head = load.head + TAIL % (load.endpoint.encode(), max(1, int(1000 * left)))
+        self.counts["offered"] += 1
+        visit = Visit(head, job.body, load.framed, partial(self.ended, job), 0.0, nothing)
+        visit.id = load.id.encode("latin-1")
+        job.exchange = visit
+        job.begun = self.loop.time()
+        self.pools.carry(load.endpoint, visit)
+
+    def ended(self, job: Job, outcome: i.Outcome, reply: Reply | None = None, report: object = None) -> None:
+        """The endpoint has answered, or its connection tells how far a request got."""
+        job.exchange = None
+        now = self.loop.time()
+        worked = now - job.begun
+        if reply is None:
+            proves = outcome in i.NEVER_RAN
+            made = Yield(verdict=Verdict.NEVER if proves else Verdict.MAYBE, why=outcome, offered=not proves)
+            self.counts["maybe"] += not proves
+            if outcome == "connect_failed" and self.refused is not None:
+                self.refused()
+        elif reply.header(b"x-not-executed") is not None:
+            self.counts["full"] += 1
+            made = Yield(verdict=Verdict.FULL, status=reply.status, why="turned away", offered=True)
+        else:
+            self.counts["ran"] += 1
+            made = Yield(verdict=Verdict.RAN, status=reply.status, body=reply.body, offered=True,
+                         headers=[Header(name=k, value=v) for k, v in reply.headers])
+            if 200 <= reply.status < 300 and not sound(reply):
+                made = Yield(verdict=Verdict.MAYBE, why="no seal", offered=True)
+            elif reply.status < 500:
+                self.queue.learn(worked)
+        job.queue.left(job)
+        made.worked_ms, made.waited_ms = int(1000 * worked), int(1000 * (job.begun - job.since))
+        self.tell(job, made)
+        self.move()
+
+    def turn_back(self, job: Job, verdict: Verdict, why: str) -> None:
+        """A job that has not begun goes elsewhere."""
+        job.queue.drop(job)
+        self.tell(job, Yield(verdict=verdict, why=why))
+
+    def expire(self, job: Job) -> None:
+        """Its time is up: nobody waits for it any more."""
+        if job.answer is None:
+            return
+        begun = job.exchange is not None
+        self.cancel(job, silent=True)
+        job.answer, answer = None, job.answer
+        if answer is not None:
+            answer(Yield(verdict=Verdict.MAYBE if begun else Verdict.NEVER, why="deadline", offered=begun))
+
+    def cancel(self, job: Job, silent: bool = False) -> None:
+        """It is given up: what has not begun never does, and a run is ended."""
+        if not silent:
+            job.answer = None
+        if job.timer is not None:
+            job.timer.cancel()
+        self.jobs.discard(job)
+        if job.exchange is not None:
+            exchange, job.exchange = job.exchange, None
+            exchange.cancel(silent)
+            job.queue.left(job)
+            self.move()
+        else:
+            job.queue.drop(job)
+
+    def tell(self, job: Job, made: Yield) -> None:
+        if job.timer is not None:
+            job.timer.cancel()
+        self.jobs.discard(job)
+        made.inflight, made.slots = self.queue.busy + len(self.queue.waiting), self.queue.slots
+        answer, job.answer = job.answer, None
+        if answer is not None:
+            answer(made)
+
+
+def sound(reply: Reply) -> bool:
+    """Whether a success is the endpoint's own: it bears the seal, and its body is as it was made."""
+    return bool(reply.header(b"x-server-seal")) and reply.header(b"content-encoding") in (None, b"identity")
+
+
+def nothing() -> None:
+    """Nobody counts what has been handed to the kernel here."""
--- /dev/null
+++ b/zinclever/hive/gate/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of endpoints, operators and the platform."""
--- /dev/null
+++ b/zinclever/hive/honey/__init__.py
@@ -0,0 +1,1 @@
+"""The configurations of operators: read, checked, looked up."""
--- /dev/null
+++ b/zinclever/hive/honey/recipe.py
@@ -0,0 +1,188 @@
+"""A configuration of the operators: read, checked, and made into what requests are looked up in.
+
+A text of JSON with ``Generation``, ``Routes`` and ``Services`` (tables by name) and ``Limits``. Fields that nobody here
+knows pass.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+from schema import And, Optional, Or, Schema, SchemaError
+
+from ..errors import HiveError
+
+MOST_TEXT = 16 << 20  # bytes of a configuration
+MOST_NUMBER = 2**53
+
+IDEMPOTENT, NON_IDEMPOTENT = "idempotent", "non_idempotent"
+
+
+def number(least: float, most: float, above: bool = False) -> Any:
+    """A finite JSON number within bounds; booleans are none."""
+    def check(value: object) -> bool:
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+            return False
+        return (least < value if above else least <= value) and value <= most
+
+    return And(check, error=f"must be a number {'above' if above else 'from'} {least:g} to {most:g}")
+
+
+TEXT: Any = And(str, len, error="must be a text that is not empty")
+PREFIX: Any = And(str, lambda p: p.startswith("/") and p.endswith("/"), error="must start and end with a slash")
+WHOLE: Any = And(number(0, MOST_NUMBER), lambda v: v == int(v), error="must be a whole number")
+
+ROUTE = Schema(
+    {
+        "Authority": TEXT,
+        "PathPrefix": PREFIX,
+        "RouteClass": Or(IDEMPOTENT, NON_IDEMPOTENT, error="must be 'idempotent' or 'non_idempotent'"),
+        "DeadlineS": number(0, 86400, above=True),
+        Optional("TargetLatencyS"): number(0, 86400),
+        Optional("Priority"): number(-1e6, 1e6),
+        Optional("MaxAttempts"): And(WHOLE, lambda v: v >= 1, error="must be a whole number from 1"),
+        Optional("Target"): TEXT,
+        Optional("WeightedTargets"): And(
+            [Schema({"Target": TEXT, "Weight": number(0, 1e9)}, ignore_extra_keys=True)],
+            lambda ws: sum(w["Weight"] for w in ws) > 0, error="must hold a target with a weight above 0",
+        ),
+    },
+    ignore_extra_keys=True,
+)
+SERVICE = Schema(
+    {Optional("HealthPath"): str, Optional("MaxConns"): And(WHOLE, lambda v: v >= 1)}, ignore_extra_keys=True
+)
+LIMITS = Schema(
+    {
+        Optional("MaxHeaderBytes"): number(1, 2**40), Optional("MaxBodyBytes"): number(0, 2**50),
+        Optional("HeaderTimeoutS"): number(0, 1e6), Optional("IdleTimeoutS"): number(0, 1e6),
+    },
+    ignore_extra_keys=True,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One route as it is in force."""
+
+    name: str
+    host: str
+    prefix: str
+    safe: bool
+    """Its requests may run more than once."""
+    deadline: float
+    """s that a request is held at the longest."""
+    aim: float
+    """s within which an answer earns its full worth."""
+    priority: float
+    """0 is the highest rank."""
+    attempts: int
+    targets: tuple[tuple[str, float], ...]
+    """Services and their weights; the weights add up to 1."""
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    name: str
+    health: str
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class Recipe:
+    """A whole configuration."""
+
+    generation: int
+    routes: dict[str, Route]
+    services: dict[str, Service]
+    hosts: dict[str, list[Route]] = field(default_factory=dict)
+    """By host in lower case: its routes, the longest prefix first."""
+    max_header: float = 32768.0
+    max_body: float = float(40 << 20)
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+    def find(self, host: str, path: str) -> Route | None:
+        """The route of a request: of its host's the one whose prefix begins the path and is longest."""
+        for route in self.hosts.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def read(text: bytes) -> Recipe:
+    """A configuration from its text; HiveError with the path of the field where it is none."""
+    if len(text) > MOST_TEXT:
+        raise HiveError("CONFIG_TOO_LARGE", f"more than {MOST_TEXT} bytes")
+    try:
+        told = orjson.loads(text)
+    except orjson.JSONDecodeError as wrong:
+        raise HiveError("CONFIG_UNREADABLE", str(wrong)) from None
+    if not isinstance(told, dict):
+        raise HiveError("CONFIG_INVALID", "must be a table")
+    check(WHOLE, told.get("Generation"), "Generation")
+    routes, services = told.get("Routes"), told.get("Services")
+    if not isinstance(routes, dict):
+        raise HiveError("CONFIG_INVALID", "must be a table by name", "Routes")
+    if not isinstance(services, dict):
+        raise HiveError("CONFIG_INVALID", "must be a table by name", "Services")
+    limits = told.get("Limits", {})
+    check(LIMITS, limits, "Limits")
+    made = {n: make_service(n, s) for n, s in services.items()}
+    found = {n: make_route(n, r, made) for n, r in routes.items()}
+    hosts: dict[str, list[Route]] = {}
+    places: dict[tuple[str, str], str] = {}
+    for route in found.values():
+        place = (route.host, route.prefix)
+        if place in places:
+            raise HiveError("CONFIG_INVALID", f"the same place as {places[place]}", f"Routes.{route.name}.PathPrefix")
+        places[place] = route.name
+        hosts.setdefault(route.host, []).append(route)
+    for listed in hosts.values():
+        listed.sort(key=lambda r: -len(r.prefix))
+    return Recipe(
+        int(told["Generation"]), found, made, hosts,
+        *(float(limits.get(k, d)) for k, d in (
+            ("MaxHeaderBytes", 32768), ("MaxBodyBytes", 40 << 20), ("HeaderTimeoutS", 3), ("IdleTimeoutS", 15))),
+    )
+
+
+def check(schema: Any, value: object, path: str) -> None:
+    """Raise where a value doesn't fit, with its path."""
+    try:
+        (schema if isinstance(schema, Schema) else Schema(schema)).validate(value)
+    except SchemaError as wrong:
+        autos = [str(a) for a in wrong.autos if a]
+        key = next((a.partition("Key '")[2].partition("'")[0] for a in autos if "Key '" in a), "")
+        said = [str(e) for e in wrong.errors if e] or autos
+        at = f"{path}.{key}" if key else path
+        raise HiveError("CONFIG_INVALID", said[-1] if said else "is not valid", at) from None
+
+
+def make_service(name: str, told: object) -> Service:
+    check(SERVICE, told, f"Services.{name}")
+    assert isinstance(told, dict)
+    return Service(name, told.get("HealthPath", "/health"), int(told.get("MaxConns", 100)))
+
+
+def make_route(name: str, told: object, services: dict[str, Service]) -> Route:
+    path = f"Routes.{name}"
+    check(ROUTE, told, path)
+    assert isinstance(told, dict)
+    weighted = told.get("WeightedTargets")
+    if weighted is None and "Target" not in told:
+        raise HiveError("CONFIG_INVALID", "names no target", path)
+    pairs = [(w["Target"], float(w["Weight"])) for w in weighted] if weighted else [(told["Target"], 1.0)]
+    for target, _ in pairs:
+        if target not in services:
+            raise HiveError("CONFIG_INVALID", f"names the unknown service {target!r}", f"{path}.Target")
+    whole = sum(w for _, w in pairs)
+    deadline = float(told["DeadlineS"])
+    return Route(
+        name, told["Authority"].lower(), told["PathPrefix"], told["RouteClass"] == IDEMPOTENT, deadline,
+        float(told.get("TargetLatencyS", 0.0)) or deadline, float(told.get("Priority", 0)),
+        int(told.get("MaxAttempts", 1)), tuple((t, w / whole) for t, w in pairs if w > 0),
+    )
--- /dev/null
+++ b/zinclever/hive/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The roles of the program: what is put together from the other packages."""
--- /dev/null
+++ b/zinclever/hive/roles/boot.py
@@ -0,0 +1,103 @@
+"""The settings file that a process is told of at its start, checked."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from schema import And, Optional, Or, Schema, SchemaError
+
+from ...core.protocol import Address, read_address
+from ..errors import HiveError
+
+VARIABLE = "ZINCLEVER_BOOT"
+
+
+def is_address(text: object) -> bool:
+    if not isinstance(text, str):
+        return False
+    try:
+        read_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+ADDRESS: Any = And(is_address, error="must be host:port")
+PORT: Any = And(int, lambda p: 0 < p < 65536, error="must be a port")
+NAME: Any = And(str, len, error="must be a text that is not empty")
+ABOVE: Any = And(Or(int, float), lambda v: v > 0, error="must be a number above 0")
+
+SETTINGS = Schema(
+    {
+        "NodeName": NAME, "Role": NAME, "Ip": NAME, "Zone": str, "Serves": [str],
+        "Bind": {Optional(str): ADDRESS},
+        "EphemeralPorts": And([PORT], lambda p: len(p) == 2 and p[0] < p[1], error="must be two ports, rising"),
+        "SeedNodes": [ADDRESS],
+        Optional("MachineClass"): str, Optional("Region"): str, Optional("Zones"): dict,
+        Optional("Bootstrap"): bool, Optional("Counted"): bool, Optional("StateDir"): Or(None, NAME),
+        Optional("HeartbeatS"): ABOVE, Optional("Bounds"): [str], Optional("Limits"): dict,
+        Optional("FaultModel"): dict, Optional("AppAddr"): Or(None, ADDRESS), Optional("Target"): Or(None, str),
+    },
+    ignore_extra_keys=True,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Boot:
+    """What this process is told."""
+
+    name: str
+    ip: str
+    zone: str
+    zones: tuple[str, ...]
+    bind: Mapping[str, Address]
+    ports: tuple[int, int]
+    seeds: tuple[Address, ...]
+    bootstrap: bool
+    state: str | None
+    """The folder of its disk."""
+    beat: float
+    """s between two beats of an endpoint."""
+    losses: int
+    """Machines with a disk that may be lost at once."""
+    descriptors: int
+    memory: int
+    """MB."""
+    bounds: Mapping[str, float]
+    app: Address | None
+    service: str
+
+
+def read(text: bytes) -> Boot:
+    """The settings from their text; HiveError with the path of what is wrong."""
+    try:
+        told: Any = orjson.loads(text)
+        SETTINGS.validate(told)
+    except orjson.JSONDecodeError as wrong:
+        raise HiveError("BOOT_UNREADABLE", str(wrong)) from None
+    except SchemaError as wrong:
+        raise HiveError("BOOT_INVALID", " ".join(str(wrong.code).split()), "boot") from None
+    limits, fault = told.get("Limits") or {}, told.get("FaultModel") or {}
+    return Boot(
+        told["NodeName"], told["Ip"], told["Zone"], tuple(sorted(told.get("Zones") or {told["Zone"]: ""})),
+        {k: read_address(v) for k, v in told["Bind"].items()}, tuple(told["EphemeralPorts"]),
+        tuple(read_address(s) for s in told["SeedNodes"]), bool(told.get("Bootstrap")), told.get("StateDir"),
+        float(told.get("HeartbeatS", 1.5)), int(fault.get("HostLosses", 1)), int(limits.get("MaxFds", 1024)),
+        int(limits.get("MemoryMb", 256)), read_bounds(told.get("Bounds") or []),
+        read_address(told["AppAddr"]) if told.get("AppAddr") else None, told.get("Target") or "",
+    )
+
+
+def read_bounds(texts: list[str]) -> dict[str, float]:
+    """``name=value`` texts, or several on one line; a value may be ``true`` or ``false``."""
+    found: dict[str, float] = {}
+    for text in (part for line in texts for part in line.split(",")):
+        name, _, value = text.strip().partition("=")
+        try:
+            found[name] = float({"true": "1", "false": "0"}.get(value.lower(), value))
+        except ValueError:
+            raise HiveError("BOOT_INVALID", f"is no number: {value!r}", f"Bounds.{name}") from None
+    return found
--- /dev/null
+++ b/zinclever/hive/roles/colony.py
@@ -0,0 +1,175 @@
+"""What every process of the mesh has: its place among the others, its links, and the configuration in force."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from ...core.descriptors import Descriptors
+from ...core.protocol import Address
+from ...system import System
+from ..dance.hive_pb2 import Bee, Fetch, Frame, Honey, Record, Version
+from ..dance.links import Line, Lines, Link
+from ..errors import HiveError
+from ..honey.pantry import Pantry
+from ..swarm.ground import Ground
+from ..swarm.records import BEE, VERSION
+from ..swarm.swarm import Swarm
+from .boot import Boot
+
+log = logging.getLogger(__name__)
+
+FORAGER, COMB = "forager", "comb"
+OFFSETS = {FORAGER: 0, COMB: 1}  # of a role's port from the first of EphemeralPorts
+FETCH_FOR = 0.6  # s for which a version is waited for before another is asked
+CONFIG = "config"  # the id of the version's record
+
+
+class Colony:
+    """Owns the swarm's socket, the links and their listener, from :meth:`start` to :meth:`stop`."""
+
+    def __init__(self, boot: Boot, role: str, disk: str = "") -> None:
+        self.boot, self.role = boot, role
+        self.host = System()
+        self.loop = asyncio.get_running_loop()
+        self.port = boot.ports[0] + OFFSETS[role]
+        gate = boot.bind.get("ControlPlane") if role == COMB else None
+        self.bee = Bee(ip=boot.ip, port=self.port, role=role, zone=boot.zone, disk=disk,
+                       gate=f"{gate[0]}:{gate[1]}" if gate else "")
+        seeds = [(ip, boot.ports[0] + OFFSETS[COMB]) for ip, _ in boot.seeds]
+        self.name = f"{boot.name}/{role}"
+        life = time.time_ns() // 1_000_000
+        self.swarm = Swarm(self.name, life, self.bee, seeds, self.loop.time(), self.host.random())
+        self.ground = Ground(self.swarm, self.on_news)
+        self.lines = Lines(self.name)
+        self.descriptors = Descriptors(max(128, boot.descriptors - 200))
+        self.pantry = Pantry()
+        self.server: asyncio.Server | None = None
+        self.links: set[Link] = set()
+        self.waiting: list[tuple[Link, Frame]] = []
+        self.fetching: set[str] = set()
+        self.news: list[Callable[[Record], None]] = []
+        self.frames: dict[str, Callable[[Link, Frame], None]] = {"fetch": self.on_fetch}
+        self.link_lost: list[Callable[[Link], None]] = []
+
+    async def start(self) -> None:
+        self.server = await self.loop.create_server(
+            lambda: Link(self.on_frame, self.on_link_lost), self.boot.ip, self.port, backlog=512)
+        await self.ground.listen((self.boot.ip, self.port))
+
+    def stop(self) -> None:
+        self.swarm.leave(self.loop.time())
+        self.ground.flush()
+        self.ground.close()
+        self.lines.close()
+        if self.server is not None:
+            self.server.close()
+        for link in list(self.links):
+            link.end()
+
+    # --- links ---
+
+    def on_frame(self, link: Link, frame: Frame) -> None:
+        self.links.add(link)
+        handler = self.frames.get(frame.WhichOneof("what") or "")
+        if handler is not None:
+            handler(link, frame)
+
+    def on_link_lost(self, link: Link) -> None:
+        self.links.discard(link)
+        self.waiting = [w for w in self.waiting if w[0] is not link]
+        for told in self.link_lost:
+            told(link)
+
+    def line(self, address: Address) -> Line:
+        return self.lines.to(address)
+
+    # --- news ---
+
+    def on_news(self, record: Record, teller: str) -> None:
+        """Something is new here."""
+        if record.kind == VERSION and record.life > self.pantry.number:
+            self.fetch(record, teller)
+        if record.kind == BEE and record.rank >= 2:
+            bee = Bee.FromString(record.body)
+            self.lines.drop((bee.ip, bee.port))
+        for listener in self.news:
+            listener(record)
+
+    def tell(self, record: Record) -> None:
+        """News from here, at once."""
+        self.swarm.tell(self.loop.time(), record)
+        self.ground.flush()
+
+    def alter(self, **changes: object) -> None:
+        """Say something else of this process."""
+        for name, value in changes.items():
+            setattr(self.bee, name, value)
+        self.swarm.alter(self.loop.time(), self.bee)
+        self.ground.flush()
+
+    # --- the configuration ---
+
+    def in_force(self, number: int, generation: int, text: bytes) -> None:
+        """A settled configuration has come here by whatever way: it holds from now on, and others may ask for it."""
+        try:
+            self.pantry.take(number, generation, text)
+        except HiveError as wrong:
+            log.error("a settled configuration can't be read", extra={"code": wrong.code, "field": wrong.field})
+            return
+        body = Version(number=number, generation=generation).SerializeToString()
+        self.tell(Record(kind=VERSION, id=CONFIG, life=number, body=body))
+        waiting, self.waiting = self.waiting, []
+        for link, frame in waiting:
+            self.on_fetch(link, frame)
+
+    def fetch(self, record: Record, teller: str) -> None:
+        """Ask for a version: who told of it first, then any other."""
+        if self.fetching:
+            return
+        address = self.swarm.address(teller)
+        if teller == self.name or address is None:
+            peers = [p for p in self.swarm.peers() if self.swarm.address(p) is not None]
+            if not peers:
+                self.loop.call_later(FETCH_FOR, self.look_again)
+                return
+            teller = self.swarm.rng.choice(peers)
+            address = self.swarm.address(teller)
+        assert address is not None
+        self.fetching.add(teller)
+        line = self.line(address)
+        stream = 0
+        done = False
+
+        def over(frame: Frame | None) -> None:
+            nonlocal done
+            if done:
+                return
+            done = True
+            timer.cancel()
+            line.over(stream)
+            self.fetching.discard(teller)
+            if frame is not None and frame.honey.number:
+                self.in_force(frame.honey.number, frame.honey.generation, frame.honey.text)
+            self.look_again(again=frame is None or not frame.honey.number)
+
+        timer = self.loop.call_later(FETCH_FOR, over, None)
+        stream = line.call(Frame(fetch=Fetch(number=record.life)), over)
+
+    def look_again(self, again: bool = False) -> None:
+        """Whether a newer version is known of than is held."""
+        record = self.swarm.records.get(VERSION, CONFIG)
+        if record is not None and record.life > self.pantry.number:
+            if again:
+                self.loop.call_later(0.05, self.look_again)
+            else:
+                self.fetch(record, self.name)
+
+    def on_fetch(self, link: Link, frame: Frame) -> None:
+        if self.pantry.number >= frame.fetch.number and self.pantry.text:
+            honey = Honey(number=self.pantry.number, generation=self.pantry.generation, text=self.pantry.text)
+            link.send(Frame(stream=frame.stream, honey=honey))
+        elif len(self.waiting) < 1024:
+            self.waiting.append((link, frame))
--- /dev/null
+++ b/zinclever/hive/roles/forager.py
@@ -0,0 +1,297 @@
+"""The sidecar of the mesh: the way out for this machine, and the keeper of the endpoint beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from functools import partial
+
+from ... import interface as i
+from ...core.protocol import Entry
+from ...http1.desk import Desk
+from ...http1.heads import Answer
+from ..dance.hive_pb2 import Bee, Cell, Frame, Load, Piece, Record, Yield
+from ..dance.links import Link
+from ..forage.egress import Egress
+from ..forage.flights import Flight, Flights
+from ..forage.hop import WHOLE, HopWire
+from ..forage.keeper import Job, Keeper
+from ..forage.thrift import Thrift
+from ..gate.desk import Call, Gate, Handler, say
+from ..gate.matchers import Tree
+from ..honey.recipe import Recipe
+from ..swarm.records import BEE, ENDPOINT
+from ..swarm.swarm import Standing
+from .boot import Boot
+from .colony import FORAGER, Colony
+from .doorway import DRAINING, GONE, LAST, READY, read_beat
+
+log = logging.getLogger(__name__)
+
+MISSED = 3.4  # beats after which an endpoint that says nothing is taken for gone
+LOOK = 0.5  # s between two looks at it
+MOST_BODY = 80 << 20  # bytes of a load
+SERVES_ON = 2.4  # s after SIGTERM for which clients still come: the platform asks once a second, and wants two misses
+ENDS_BEFORE = 0.6  # s before the grace is over at which the process ends whatever runs
+BACKLOG = 2048
+
+
+class Incoming:
+    """A load that comes over a link, until its answer has gone back."""
+
+    __slots__ = ("job", "link", "load", "parts", "wanted")
+
+    def __init__(self, link: Link, load: Load) -> None:
+        self.link, self.load = link, load
+        self.parts = [load.body]
+        self.wanted = load.length - len(load.body)
+        self.job: Job | None = None
+
+
+class Forager:
+    """Owns the colony, the three listeners and the keeper."""
+
+    def __init__(self, boot: Boot) -> None:
+        self.boot = boot
+        self.colony = Colony(boot, FORAGER)
+        self.loop, self.host = self.colony.loop, self.colony.host
+        self.keeper = Keeper(self.host, self.colony.descriptors)
+        self.keeper.refused = self.on_refused
+        self.flights = Flights(self.make_flight)
+        self.egress = Egress(self.colony.descriptors, self.host, self.colony.pantry, self.flights, boot.service)
+        self.desks: list[tuple[Desk, str]] = [(self.egress, "Egress")]
+        self.servers: list[asyncio.Server] = []
+        self.incoming: dict[tuple[Link, int], Incoming] = {}
+        self.beat_at = -1e9  # when the endpoint was last heard
+        self.life = 0
+        self.ending = False
+        self.stale: set[str] = set()
+        self.refreshing = False
+        self.colony.frames.update(load=self.on_load, piece=self.on_piece, cancel=self.on_cancel)
+        self.colony.link_lost.append(self.on_link_lost)
+        self.colony.news.append(self.on_news)
+        self.colony.pantry.listeners.append(self.on_recipe)
+
+    async def start(self) -> None:
+        boot = self.boot
+        ready: Tree[Handler] = Tree()
+        ready.add("GET /v1/ready", self.on_ready)
+        calls: Tree[Handler] = Tree()
+        calls.add("POST /v1/endpoints/{id}/heartbeat", self.on_beat)
+        calls.add("POST /v1/endpoints/{id}/departure", self.on_departure)
+        calls.add("GET /v1/ready", self.on_ready)
+        for name, tree in (("Readiness", ready), ("ControlPlane", calls)):
+            self.desks.append((Gate(self.colony.descriptors, self.host, tree), name))
+        await self.colony.start()
+        for desk, name in self.desks:
+            if name in boot.bind:
+                server = await self.loop.create_server(desk.connection, *boot.bind[name], backlog=BACKLOG)
+                self.servers.append(server)
+        self.look()
+
+    # --- the platform ---
+
+    def ready(self) -> bool:
+        """It serves: a configuration is in force, some endpoint is known, and others have told what they know."""
+        return bool(not self.ending and self.colony.pantry.recipe is not None and self.colony.swarm.met
+                    and any(f.ledger.ready for f in self.flights.flights.values()))
+
+    def on_ready(self, call: Call) -> Answer:
+        return say(200 if self.ready() else 503)
+
+    async def stop(self, grace: float) -> None:
+        """End in order: others stop coming first, what runs is finished."""
+        began = self.loop.time()
+        self.ending = True
+        self.colony.swarm.leave(began)
+        self.colony.ground.flush()
+        for desk, _ in self.desks:
+            desk.begin_drain()
+        while self.loop.time() - began < grace - ENDS_BEFORE:
+            await asyncio.sleep(0.05)
+            quiet = not self.egress.open and not self.keeper.jobs and not self.incoming
+            if quiet and self.loop.time() - began > SERVES_ON:
+                break
+        for server in self.servers:
+            server.close()
+        self.egress.close_idle()
+        for desk, _ in self.desks:
+            desk.stop()
+        self.colony.stop()
+
+    # --- the endpoint beside this sidecar ---
+
+    def on_beat(self, call: Call) -> Answer:
+        record = read_beat(call, self.life)
+        known = self.colony.swarm.records.get(ENDPOINT, record.id)
+        if known is not None:
+            record.life = known.life
+            if known.rank >= GONE:
+                if known.seq >= LAST:
+                    return say(200, {})  # it has said that it leaves: a late beat changes nothing
+                record.life = known.life + 1  # it was taken for gone, and lives
+            elif known.seq > record.seq:
+                return say(200, {})  # a late one
+        cell = Cell.FromString(record.body)
+        cell.keeper = self.colony.name
+        record.body = cell.SerializeToString()
+        self.beat_at = self.loop.time()
+        if known is None or known.rank != record.rank or known.life != record.life:
+            self.colony.tell(record)
+        self.adopt(record.id, record.rank, cell)
+        return say(200, {})
+
+    def adopt(self, endpoint: str, rank: int, cell: Cell) -> None:
+        """What the keeper does by what is known of an endpoint here."""
+        if rank == READY:
+            old = self.keeper.endpoint
+            if old and old != endpoint:
+                self.end(old)
+            host, _, port = cell.address.rpartition(":")
+            address = self.boot.app or (host, int(port))
+            self.keeper.admit(endpoint, address, cell.slots)
+        elif endpoint == self.keeper.endpoint:
+            self.keeper.close()
+
+    def on_departure(self, call: Call) -> Answer:
+        self.end(call.captured[0], LAST)
+        return say(200, {})
+
+    def end(self, endpoint: str, seq: int = 0) -> None:
+        """An endpoint is gone."""
+        known = self.colony.swarm.records.get(ENDPOINT, endpoint)
+        if endpoint == self.keeper.endpoint:
+            self.keeper.forget()
+        if (known is not None and known.rank < GONE) or seq:
+            life, body = (known.life, known.body) if known is not None else (0, b"")
+            seq = max(seq, known.seq if known is not None else 0)
+            self.colony.tell(Record(kind=ENDPOINT, id=endpoint, life=life, seq=seq, rank=GONE, body=body))
+
+    def look(self) -> None:
+        """Whether the endpoint still beats."""
+        self.loop.call_later(LOOK, self.look)
+        if self.keeper.endpoint and self.loop.time() - self.beat_at > MISSED * self.boot.beat:
+            log.info("endpoint fell silent", extra={"code": "ENDPOINT_SILENT", "endpoint": self.keeper.endpoint})
+            self.end(self.keeper.endpoint)
+
+    def on_refused(self) -> None:
+        """Nobody listens at the endpoint's address: it has crashed, or is not up yet."""
+        if self.keeper.endpoint:
+            log.info("endpoint refuses connections", extra={"code": "ENDPOINT_REFUSES"})
+            self.end(self.keeper.endpoint)
+
+    # --- loads from other sidecars ---
+
+    def on_load(self, link: Link, frame: Frame) -> None:
+        if frame.load.length > MOST_BODY:
+            link.end()
+            return
+        load = Load()
+        load.CopyFrom(frame.load)
+        incoming = Incoming(link, load)
+        self.incoming[(link, frame.stream)] = incoming
+        if incoming.wanted <= 0:
+            self.hand_in(frame.stream, incoming)
+
+    def on_piece(self, link: Link, frame: Frame) -> None:
+        incoming = self.incoming.get((link, frame.stream))
+        if incoming is not None and incoming.wanted > 0:
+            incoming.parts.append(frame.piece.data)
+            incoming.wanted -= len(frame.piece.data)
+            if incoming.wanted <= 0:
+                self.hand_in(frame.stream, incoming)
+
+    def hand_in(self, stream: int, incoming: Incoming) -> None:
+        body = incoming.parts[0] if len(incoming.parts) == 1 else b"".join(incoming.parts)
+        incoming.job = self.keeper.offer(incoming.load, body, partial(self.send_back, stream, incoming))
+
+    def send_back(self, stream: int, incoming: Incoming, made: Yield) -> None:
+        """A keeper's verdict, over the link; a long body in pieces."""
+        self.incoming.pop((incoming.link, stream), None)
+        body = made.body
+        made.length = len(body)
+        if len(body) > WHOLE:
+            made.body = body[:WHOLE]
+        incoming.link.send(Frame(stream=stream, gives=made))
+        for at in range(WHOLE, len(body), WHOLE):
+            incoming.link.send(Frame(stream=stream, piece=Piece(data=body[at : at + WHOLE])))
+
+    def on_cancel(self, link: Link, frame: Frame) -> None:
+        incoming = self.incoming.pop((link, frame.stream), None)
+        if incoming is not None and incoming.job is not None:
+            self.keeper.cancel(incoming.job)
+
+    def on_link_lost(self, link: Link) -> None:
+        """Whoever asked gets no answer any more: what it asked is given up."""
+        for key in [k for k in self.incoming if k[0] is link]:
+            incoming = self.incoming.pop(key)
+            if incoming.job is not None:
+                self.keeper.cancel(incoming.job)
+
+    # --- what is known of the others ---
+
+    def make_flight(self, service: str) -> Flight:
+        bounds = self.boot.bounds
+        thrift = Thrift(bounds.get("RetryRatio", 0.2), bounds.get("RetryWindowS", 10.0), bounds.get("RetrySlack", 0.0))
+        thrift.sidecars = self.sidecars()
+        wire = HopWire((self.boot.ip, self.colony.port), self.keeper, self.colony.line, thrift)
+        zones = self.boot.zones
+        zone = zones.index(self.boot.zone) if self.boot.zone in zones else 0
+        return Flight(service, zone, self.sidecars(), wire, thrift, self.colony.descriptors, self.host)
+
+    def sidecars(self) -> int:
+        return sum(r.rank < 2 and Bee.FromString(r.body).role == FORAGER
+                   for r in self.colony.swarm.records.all(BEE))
+
+    def on_recipe(self, recipe: Recipe) -> None:
+        for service in recipe.services:
+            self.flights.to(service)
+            self.stale.add(service)
+        self.refresh_soon()
+
+    def on_news(self, record: Record) -> None:
+        if record.kind == ENDPOINT:
+            cell = Cell.FromString(record.body)
+            if cell.service:
+                self.stale.add(cell.service)
+            if cell.keeper == self.colony.name and record.id != self.keeper.endpoint and record.rank == READY:
+                if not self.keeper.endpoint and self.beat_at < 0:  # told by others after a start of this process
+                    self.beat_at = self.loop.time()
+                    self.adopt(record.id, record.rank, cell)
+            elif record.id == self.keeper.endpoint and record.rank >= DRAINING:
+                self.keeper.close()
+            self.refresh_soon()
+        elif record.kind == BEE:
+            self.stale.update(self.flights.flights)
+            self.refresh_soon()
+
+    def refresh_soon(self) -> None:
+        if not self.refreshing:
+            self.refreshing = True
+            self.loop.call_soon(self.refresh)
+
+    def refresh(self) -> None:
+        """Tell the ways out what has changed of their endpoints."""
+        self.refreshing = False
+        stale, self.stale = self.stale, set()
+        by_service: dict[str, list[Entry]] = {s: [] for s in stale}
+        swarm = self.colony.swarm
+        zones = {z: n for n, z in enumerate(self.boot.zones)}
+        for record in swarm.records.all(ENDPOINT):
+            if record.rank >= GONE:
+                continue
+            cell = Cell.FromString(record.body)
+            if cell.service not in by_service:
+                continue
+            bee = swarm.bee(cell.keeper)
+            if bee is None or (swarm.standing(cell.keeper) or 0) >= Standing.DEAD:
+                continue
+            phase: i.Phase = "ready" if record.rank == READY else "draining"
+            listed = i.Listed(record.id, phase, float(cell.slots), zones.get(bee.zone, 0), 0,
+                              max(0.0, cell.cold_until - 3000.0) if cell.cold_until else 0.0)
+            by_service[cell.service].append((listed, (bee.ip, bee.port)))
+        sidecars = self.sidecars()
+        for service, entries in by_service.items():
+            flight = self.flights.to(service)
+            flight.thrift.sidecars = sidecars
+            flight.take(entries)
--- /dev/null
+++ b/zinclever/hive/swarm/ground.py
@@ -0,0 +1,75 @@
+"""The datagrams of one process, and the clock that its swarm goes by."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import cast
+
+from google.protobuf.message import DecodeError
+
+from ...core.protocol import Address
+from ..dance.hive_pb2 import Record, Waggle
+from .swarm import TICK, Swarm
+
+log = logging.getLogger(__name__)
+
+
+class Ground(asyncio.DatagramProtocol):
+    """Owns the socket and the timer from :meth:`listen` to :meth:`close`."""
+
+    def __init__(self, swarm: Swarm, changed: Callable[[Record, str], None]) -> None:
+        self.swarm, self.changed = swarm, changed
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.telling = False
+
+    async def listen(self, address: Address) -> None:
+        await self.loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        self.turn()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        try:
+            waggle = Waggle.FromString(data)
+        except DecodeError:
+            self.swarm.counts["dropped"] += 1
+            return
+        self.swarm.hear(self.loop.time(), waggle, (addr[0], addr[1]))
+        self.flush()
+
+    def error_received(self, exc: Exception) -> None:
+        """Nobody is at a port: probes find that out."""
+
+    def turn(self) -> None:
+        self.timer = self.loop.call_later(TICK, self.turn)
+        self.swarm.tick(self.loop.time())
+        self.flush()
+
+    def flush(self) -> None:
+        """Send what is to be sent, and tell of what is new."""
+        out, self.swarm.out = self.swarm.out, []
+        if self.transport is not None:
+            for address, waggle in out:
+                self.transport.sendto(waggle.SerializeToString(), address)
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.swarm.changed:
+                record, teller = self.swarm.changed.pop(0)
+                self.changed(record, teller)
+        finally:
+            self.telling = False
+        if self.swarm.out:
+            self.flush()
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
--- /dev/null
+++ b/zinclever/hive/swarm/records.py
@@ -0,0 +1,120 @@
+"""News as records: which of two holds, how long ended ones are remembered, digests over ranges. Pure."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from collections.abc import Iterable
+
+from ..dance.hive_pb2 import Holding, Record, Sum
+
+BEE, ENDPOINT, VERSION = 1, 2, 3
+RANGES = 64
+GONE = 2  # ranks from here on: what a record tells of has ended
+FADES = 10.0  # s after its end from which on a record is in no digest: nobody is to hear of it anew
+FORGOTTEN = 60.0  # s after its end for which it still refuses older news: a datagram lives for far less
+
+Key = tuple[int, str]
+Order = tuple[int, int, int]
+
+
+def order(r: Record | Holding) -> Order:
+    """Of two records with the same key the higher one holds."""
+    return r.life, r.seq, r.rank
+
+
+def key(r: Record | Holding) -> Key:
+    return r.kind, r.id
+
+
+def range_of(k: Key) -> int:
+    return zlib.crc32(f"{k[0]} {k[1]}".encode()) % RANGES
+
+
+def mark(k: Key, o: Order) -> int:
+    """A record's part in the digest of its range: digests are the exclusive or of these."""
+    text = f"{k[0]} {k[1]} {o[0]} {o[1]} {o[2]}".encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
+
+
+class Records:
+    """What is known. Costs of a change don't grow with the number of records."""
+
+    def __init__(self) -> None:
+        self.held: dict[Key, Record] = {}
+        self.ended: dict[Key, float] = {}
+        """When records of what has ended came: the oldest first."""
+        self.faded: set[Key] = set()
+        self.sums = [0] * RANGES
+        self.keys: list[set[Key]] = [set() for _ in range(RANGES)]
+
+    def get(self, kind: int, name: str) -> Record | None:
+        return self.held.get((kind, name))
+
+    def all(self, kind: int) -> list[Record]:
+        return [r for (k, _), r in self.held.items() if k == kind]
+
+    def put(self, now: float, r: Record) -> bool:
+        """Take a record in; whether it is newer than what was held."""
+        k = key(r)
+        old = self.held.get(k)
+        if old is not None and order(old) >= order(r):
+            return False
+        if old is not None:
+            self.remove(k)
+        self.held[k] = r
+        at = range_of(k)
+        self.sums[at] ^= mark(k, order(r))
+        self.keys[at].add(k)
+        if r.rank >= GONE:
+            self.ended[k] = now
+        return True
+
+    def remove(self, k: Key) -> None:
+        r = self.held.pop(k)
+        self.ended.pop(k, None)
+        if k in self.faded:
+            self.faded.discard(k)
+        else:
+            self.hide(k, r)
+
+    def hide(self, k: Key, r: Record) -> None:
+        at = range_of(k)
+        self.sums[at] ^= mark(k, order(r))
+        self.keys[at].discard(k)
+
+    def age(self, now: float) -> None:
+        """What has ended long ago is told no more, then forgotten."""
+        for k, at in list(self.ended.items()):
+            if now - at < FADES:
+                break
+            if k not in self.faded:
+                self.faded.add(k)
+                self.hide(k, self.held[k])
+            if now - at >= FORGOTTEN:
+                self.remove(k)
+
+    def digest(self) -> list[Sum]:
+        return [Sum(range=n, hash=s) for n, s in enumerate(self.sums) if s]
+
+    def differing(self, sums: Iterable[Sum]) -> list[int]:
+        """The ranges in which another holds something else."""
+        theirs = {s.range: s.hash for s in sums if s.range < RANGES}
+        return [n for n, s in enumerate(self.sums) if s != theirs.get(n, 0)]
+
+    def holdings(self, n: int) -> list[Holding]:
+        found = []
+        for k in self.keys[n]:
+            r = self.held[k]
+            found.append(Holding(kind=r.kind, id=r.id, life=r.life, seq=r.seq, rank=r.rank))
+        return found
+
+    def compare(self, ranges: Iterable[int], theirs: Iterable[Holding]) -> tuple[list[Record], list[Holding]]:
+        """What another lacks of these ranges, and what is to be asked of it."""
+        told = {key(h): h for h in theirs}
+        lacks = [
+            self.held[k] for n in ranges if n < RANGES for k in self.keys[n]
+            if k not in told or order(told[k]) < order(self.held[k])
+        ]
+        wanted = [h for k, h in told.items() if k not in self.held or order(self.held[k]) < order(h)]
+        return lacks, wanted
--- /dev/null
+++ b/zinclever/hive/swarm/swarm.py
@@ -0,0 +1,361 @@
+"""One process among the others: who is there, by probes in turn; what is known, by news passed on and digests.
+
+Pure: instants (s, of any clock that only moves forward) and random numbers are handed in, and what is to be sent is
+left in :attr:`Swarm.out`. Sources: SWIM (Das and others, 2002) and Lifeguard (2018) for probes, second opinions,
+suspicion and doubting oneself; Scuttlebutt (van Renesse and others, 2008) for the mending of gaps.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections.abc import Iterable
+from random import Random
+
+from ...core.protocol import Address
+from ..dance.hive_pb2 import Bee, Holding, Record, Waggle
+from .records import BEE, GONE, Key, Records, key, order
+
+FANOUT = 3  # peers that hot news goes to at a time
+TICK = 0.2  # s between two turns
+PROBE_EACH = 0.4  # s between two probes of a peer in turn
+ANSWERS = 0.25  # s within which a probe is answered, before others are asked to try
+SECOND = 0.5  # s more, before it is suspected
+SUSPECTED = 1.6  # s for which it may say that it lives
+ASKED = 2  # others that give a second opinion
+DIGEST_EACH = 0.5  # s between two digests to one peer
+SEED_EACH = 2.0  # s between two digests to a seed, or to one that is taken for dead: how two sides of a cut meet
+LATE = 3 * TICK  # s between two turns from which on this process doubts itself, not the others
+MOST_NEWS = 1100  # bytes of records in one datagram
+MOST_HOLDINGS = 24  # of them in one datagram
+AGAIN = 0.15  # s after which news that wants a receipt is told again
+
+
+class Standing(enum.IntEnum):
+    """What is thought of a process: the rank of its record."""
+
+    LIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Probe:
+    __slots__ = ("asked", "at", "name")
+
+    def __init__(self, name: str, at: float) -> None:
+        self.name, self.at, self.asked = name, at, False
+
+
+class Receipt:
+    """News that is to be known to have arrived."""
+
+    __slots__ = ("at", "owed", "received", "record")
+
+    def __init__(self, record: Record, owed: set[str]) -> None:
+        self.record, self.owed, self.at = record, owed, -math.inf
+        self.received: set[str] = set()
+
+
+class Swarm:
+    """Feed it :meth:`tick` each TICK, :meth:`hear` with what comes, and :meth:`tell` with what is new here."""
+
+    def __init__(self, me: str, life: int, bee: Bee, seeds: Iterable[Address], now: float, rng: Random) -> None:
+        self.me, self.rng, self.seeds = me, rng, list(seeds)
+        self.records = Records()
+        self.out: list[tuple[Address, Waggle]] = []
+        self.changed: list[tuple[Record, str]] = []
+        """Records that are new here since this was last emptied, and who told them."""
+        self.hot: dict[Key, int] = {}
+        """News still to be passed on, so many times."""
+        self.ring: list[str] = []
+        self.probes: dict[int, Probe] = {}
+        self.favours: dict[int, tuple[str, int]] = {}
+        """Probes on another's behalf: by number who asked, and its number."""
+        self.suspects: dict[str, float] = {}
+        self.receipts: dict[int, Receipt] = {}
+        self.heard: dict[str, float] = {}
+        self.numbers = 0
+        self.ticked_at = self.probed_at = self.seeded_at = now
+        self.digested_at = -math.inf
+        self.met = False
+        """Another has answered a digest of ours, or told us news."""
+        self.counts = {"sent": 0, "heard": 0, "dropped": 0, "suspected": 0, "dead": 0}
+        self.records.put(now, Record(kind=BEE, id=me, life=life, seq=1, rank=0, body=bee.SerializeToString()))
+        self.heat((BEE, me))
+
+    # --- who is there ---
+
+    def bee(self, name: str) -> Bee | None:
+        r = self.records.get(BEE, name)
+        return Bee.FromString(r.body) if r is not None else None
+
+    def standing(self, name: str) -> Standing | None:
+        r = self.records.get(BEE, name)
+        return Standing(min(r.rank, 3)) if r is not None else None
+
+    def peers(self) -> list[str]:
+        """The others that are not known to be gone."""
+        return [r.id for r in self.records.all(BEE) if r.rank < GONE and r.id != self.me]
+
+    def address(self, name: str) -> Address | None:
+        bee = self.bee(name)
+        return (bee.ip, bee.port) if bee is not None else None
+
+    def alter(self, now: float, bee: Bee) -> None:
+        """Say something else of this process."""
+        mine = self.records.held[(BEE, self.me)]
+        self.tell(now, Record(kind=BEE, id=self.me, life=mine.life, seq=mine.seq + 1, rank=0,
+                              body=bee.SerializeToString()))
+
+    def leave(self, now: float) -> None:
+        """This process ends in order."""
+        mine = self.records.held[(BEE, self.me)]
+        self.tell(now, Record(kind=BEE, id=self.me, life=mine.life, seq=mine.seq, rank=Standing.LEFT, body=mine.body))
+
+    # --- news ---
+
+    def tell(self, now: float, r: Record) -> bool:
+        """Something is new here: it goes out at once. False where newer is known."""
+        if not self.records.put(now, r):
+            return False
+        self.changed.append((r, self.me))
+        self.heat(key(r))
+        self.pass_on(now)
+        return True
+
+    def tell_surely(self, now: float, r: Record, to: Iterable[str]) -> int:
+        """The same, and told to these until they have said that they have it: a number for :attr:`receipts`."""
+        self.tell(now, r)
+        self.numbers += 1
+        self.receipts[self.numbers] = Receipt(r, set(to) - {self.me})
+        self.remind(now)
+        return self.numbers
+
+    def remind(self, now: float) -> None:
+        for number, receipt in self.receipts.items():
+            if now - receipt.at >= AGAIN:
+                receipt.at = now
+                for name in receipt.owed - receipt.received:
+                    self.send(name, Waggle(news=[receipt.record], receipt=number))
+
+    def heat(self, k: Key) -> None:
+        self.hot[k] = 2 + 2 * math.ceil(math.log2(len(self.peers()) + 2))
+
+    def pass_on(self, now: float) -> None:
+        """What is hot to a few others."""
+        peers = self.peers()
+        if not self.hot or not peers:
+            return
+        self.rng.shuffle(peers)
+        news = [self.records.held[k] for k in self.hot if k in self.records.held]
+        for name in peers[:FANOUT]:
+            self.send_news(name, news)
+        for k in list(self.hot):
+            self.hot[k] -= 1
+            if self.hot[k] <= 0:
+                del self.hot[k]
+
+    def send_news(self, name: str, news: Iterable[Record]) -> None:
+        """Records in datagrams of a bounded size."""
+        batch: list[Record] = []
+        size = 0
+        for r in news:
+            more = r.ByteSize() + 4
+            if batch and size + more > MOST_NEWS:
+                self.send(name, Waggle(news=batch))
+                batch, size = [], 0
+            batch.append(r)
+            size += more
+        if batch:
+            self.send(name, Waggle(news=batch))
+
+    def send(self, name: str, w: Waggle) -> None:
+        address = self.address(name)
+        if address is not None:
+            self.send_to(address, w)
+
+    def send_to(self, address: Address, w: Waggle) -> None:
+        w.life = self.records.held[(BEE, self.me)].life
+        w.sender = self.me
+        self.counts["sent"] += 1
+        self.out.append((address, w))
+
+    # --- turns ---
+
+    def tick(self, now: float) -> None:
+        late = now - self.ticked_at > LATE
+        self.ticked_at = now
+        if late:
+            # This process stood still or starved: what it didn't hear in that time says nothing of the others.
+            self.probes.clear()
+            self.favours.clear()
+            self.suspects = {name: now for name in self.suspects}
+        self.records.age(now)
+        self.pass_on(now)
+        self.remind(now)
+        self.judge(now)
+        if now - self.probed_at >= PROBE_EACH:
+            self.probed_at = now
+            self.probe(now)
+        if now - self.digested_at >= DIGEST_EACH:
+            self.digested_at = now
+            self.mend(now)
+
+    def mend(self, now: float) -> None:
+        """A digest to one of the others, and now and then to a seed or to one that may have come back."""
+        peers = self.peers()
+        digest = Waggle(sums=self.records.digest())
+        if peers:
+            self.send(self.rng.choice(peers), digest)
+        if self.seeds and (not peers or not self.met or now - self.seeded_at >= SEED_EACH):
+            self.seeded_at = now
+            mine = self.address(self.me)
+            for seed in (self.seeds if not self.met else [self.rng.choice(self.seeds)]):
+                if seed != mine:
+                    other = Waggle(sums=digest.sums, news=[self.records.held[(BEE, self.me)]])
+                    self.send_to(seed, other)
+            gone = [r.id for r in self.records.all(BEE) if r.rank == Standing.DEAD]
+            if gone:
+                name = self.rng.choice(gone)
+                self.send(name, Waggle(sums=digest.sums, news=[self.records.held[(BEE, name)]]))
+
+    def probe(self, now: float) -> None:
+        """The next of the others in turn."""
+        while self.ring:
+            name = self.ring.pop()
+            if name in self.peers():
+                self.numbers += 1
+                self.probes[self.numbers] = Probe(name, now)
+                self.send(name, Waggle(ping=self.numbers))
+                return
+        self.ring = self.peers()
+        self.rng.shuffle(self.ring)
+
+    def judge(self, now: float) -> None:
+        """Probes that are not answered, and suspicions that nobody refutes."""
+        for number, probe in list(self.probes.items()):
+            if self.heard.get(probe.name, -math.inf) >= probe.at:
+                del self.probes[number]
+            elif not probe.asked and now - probe.at >= ANSWERS:
+                probe.asked = True
+                others = [p for p in self.peers() if p != probe.name]
+                self.rng.shuffle(others)
+                for name in others[:ASKED]:
+                    self.send(name, Waggle(ping=number, target=probe.name))
+            elif now - probe.at >= ANSWERS + SECOND:
+                del self.probes[number]
+                self.think(now, probe.name, Standing.SUSPECT)
+        for name, since in list(self.suspects.items()):
+            if self.standing(name) is not Standing.SUSPECT:
+                del self.suspects[name]
+            elif now - since >= SUSPECTED:
+                del self.suspects[name]
+                self.think(now, name, Standing.DEAD)
+
+    def think(self, now: float, name: str, standing: Standing) -> None:
+        """Say of another what was found: it may refute it by a higher number."""
+        r = self.records.get(BEE, name)
+        if r is not None and r.rank < standing:
+            self.counts["suspected" if standing is Standing.SUSPECT else "dead"] += 1
+            self.tell(now, Record(kind=BEE, id=name, life=r.life, seq=r.seq, rank=standing, body=r.body))
+            self.watch(now, self.records.held[(BEE, name)])
+
+    def watch(self, now: float, r: Record) -> None:
+        if r.rank == Standing.SUSPECT:
+            self.suspects.setdefault(r.id, now)
+
+    # --- what comes ---
+
+    def hear(self, now: float, w: Waggle, sender: Address) -> None:
+        """A datagram of another."""
+        name = w.sender
+        if not name or name == self.me:
+            self.counts["dropped"] += 1
+            return
+        self.counts["heard"] += 1
+        self.heard[name] = now
+        fresh = False
+        for r in w.news:
+            fresh = self.take(now, r, name) or fresh
+        if w.receipt:
+            self.send(name, Waggle(received=w.receipt))
+        if w.received and w.received in self.receipts:
+            self.receipts[w.received].received.add(name)
+        if w.ping:
+            self.answer(now, w, name)
+        if w.ack:
+            favour = self.favours.pop(w.ack, None)
+            if favour is not None:
+                self.send(favour[0], Waggle(ack=favour[1], target=name))
+            probe = self.probes.pop(w.ack, None)
+            if probe is not None and probe.name != name:
+                self.heard[probe.name] = now
+        mine = self.records.get(BEE, name)
+        if mine is not None and mine.rank in (Standing.SUSPECT, Standing.DEAD) and w.life >= mine.life:
+            self.send(name, Waggle(news=[mine]))  # it hears what is thought of it, and may refute that
+        if w.sums:
+            self.compare(w, name, sender)
+        if w.ranges:
+            lacks, wanted = self.records.compare(w.ranges, w.holdings)
+            self.send_news(name, lacks)
+            for at in range(0, len(wanted), MOST_HOLDINGS):
+                self.send(name, Waggle(wanted=wanted[at : at + MOST_HOLDINGS]))
+            self.met = True
+        if w.wanted:
+            self.send_news(name, [self.records.held[key(h)] for h in w.wanted if key(h) in self.records.held])
+        if fresh:
+            self.met = True
+            self.pass_on(now)
+
+    def take(self, now: float, r: Record, teller: str) -> bool:
+        """A record from another; whether it is new here."""
+        k = key(r)
+        if k == (BEE, self.me):
+            mine = self.records.held[k]
+            if order(r) > order(mine) and (r.rank or r.life > mine.life):
+                # Somebody thinks this process gone, or an earlier life of it had a clock that was ahead.
+                self.tell(now, Record(kind=BEE, id=self.me, life=r.life, seq=r.seq + 1, rank=mine.rank,
+                                      body=mine.body))
+                self.counts["refuted"] = self.counts.get("refuted", 0) + 1
+            return False
+        if not self.records.put(now, r):
+            return False
+        if r.kind == BEE:
+            self.watch(now, r)
+        self.changed.append((r, teller))
+        self.heat(k)
+        return True
+
+    def answer(self, now: float, w: Waggle, name: str) -> None:
+        if not w.target:
+            self.send(name, Waggle(ack=w.ping))
+        elif self.address(w.target) is not None:
+            self.numbers += 1
+            self.favours[self.numbers] = (name, w.ping)
+            if len(self.favours) > 64:
+                self.favours.pop(next(iter(self.favours)))
+            self.send(w.target, Waggle(ping=self.numbers))
+
+    def compare(self, w: Waggle, name: str, sender: Address) -> None:
+        """The holdings of ranges that differ, in datagrams of a bounded size."""
+        ranges: list[int] = []
+        holdings: list[Holding] = []
+        for n in self.records.differing(w.sums):
+            here = self.records.holdings(n)
+            if ranges and len(holdings) + len(here) > MOST_HOLDINGS:
+                self.reply(name, sender, Waggle(ranges=ranges, holdings=holdings))
+                ranges, holdings = [], []
+            ranges.append(n)
+            holdings += here
+        if ranges:
+            self.reply(name, sender, Waggle(ranges=ranges, holdings=holdings))
+        else:
+            self.met = True
+
+    def reply(self, name: str, sender: Address, w: Waggle) -> None:
+        """To one that may not be known by name yet."""
+        if self.address(name) is not None:
+            self.send(name, w)
+        else:
+            self.send_to(sender, w)
--- /dev/null
+++ b/zinclever/hive/verdict.py
@@ -0,0 +1,22 @@
+"""Whether a request may have run: what every hop says of an attempt."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Verdict(enum.IntEnum):
+    """Ordered: of two hops that know of an attempt the higher one holds."""
+
+    NEVER = 1
+    """It has not run and never will: it may go elsewhere, and it may be refused."""
+    FULL = 2
+    """The same, and what was asked has no room."""
+    MAYBE = 3
+    """It may have run, or may yet: an unsafe one goes nowhere else."""
+    RAN = 4
+    """An endpoint has answered it."""
+
+    @property
+    def proves_not_run(self) -> bool:
+        return self <= Verdict.FULL
--- /dev/null
+++ b/zinclever/hive/wax/__init__.py
@@ -0,0 +1,1 @@
+"""The disk: files that are whole or not there."""
--- a/zinclever/http1/connection.py
+++ b/zinclever/http1/connection.py
@@ -124,8 +124,10 @@
 
     def __init__(self, sock: Socket, on_free: Callable[[ClientConnection], None],
                  on_lost: Callable[[ClientConnection], None], most_body: int = MOST_BODY,
-                 transfers: bool = False) -> None:
-        """``most_body``: bytes that are held of an answer; with ``transfers`` a longer one is passed on."""
+                 transfers: bool = False, stall: float = STALL) -> None:
+        """``most_body``: bytes that are held of an answer; with ``transfers`` a longer one is passed on. ``stall``: s
+        between two pieces of one that is held."""
+        self.patience = stall
         self.sock, self.on_free, self.on_lost, self.most_body = sock, on_free, on_lost, most_body
         self.most_answer = MOST_ANSWER if transfers else most_body
         self.rest: Transfer | None = None
@@ -339,12 +341,12 @@
         self.heard_at = loop.time()
         if self.stall is None:
             self.begun_at = self.heard_at
-            self.stall = loop.call_later(STALL, self.look)
+            self.stall = loop.call_later(self.patience, self.look)
 
     def look(self) -> None:
         """Whether the server has said nothing for too long, while it could."""
         loop = asyncio.get_running_loop()
-        patience = TRANSFER_STALL if self.rest is not None else STALL
+        patience = TRANSFER_STALL if self.rest is not None else self.patience
         left = patience if self.paused else self.heard_at + patience - loop.time()
         if left > 0.0:
             self.stall = loop.call_later(left, self.look)
@@ -457,7 +459,7 @@
 
 async def dial(host: Host, address: Address, timeout: float, on_free: Callable[[ClientConnection], None],
                on_lost: Callable[[ClientConnection], None], most_body: int = MOST_BODY,
-               transfers: bool = False) -> ClientConnection:
+               transfers: bool = False, stall: float = STALL) -> ClientConnection:
     """A new connection, within ``timeout`` seconds; OSError (time-outs are one) where there is none."""
     loop = asyncio.get_running_loop()
     sock = host.socket()
@@ -466,7 +468,7 @@
         async with asyncio.timeout(timeout):
             await loop.sock_connect(sock, address)
         _, connection = await loop.create_connection(
-            lambda: ClientConnection(sock, on_free, on_lost, most_body, transfers), sock=sock
+            lambda: ClientConnection(sock, on_free, on_lost, most_body, transfers, stall), sock=sock
         )
     except BaseException:
         sock.close()
--- a/zinclever/http1/front.py
+++ b/zinclever/http1/front.py
@@ -2,28 +2,29 @@
 
 from __future__ import annotations
 
-from typing import cast
+import asyncio
+from collections.abc import Callable
+from typing import Any
 
+from ..core.counts import Replies
 from ..core.ledger import Ledger
-from ..core.protocol import Incoming
-from .bodies import ROOM_UNTOLD, Body, Room
-from .clients import Clients
+from ..core.protocol import Final, Incoming
+from .bodies import Body
 from .connection import Headers
-from .heads import Rejected, cookie, number, request_head
-from .server import ServerConnection
+from .desk import Desk
+from .heads import Answer, Rejected, Whole, cookie, number, request_head
 from .wire import Payload
 
+HEALTH = "/_health"
 
-class Front(Clients):
+
+class Front(Desk):
     """The ledger, the settings as names, who is connected and since when."""
 
     def __init__(self, ledger: Ledger) -> None:
         super().__init__(ledger.descriptors)
         self.ledger = ledger
         self.configure()
-        self.room = Room(ROOM_UNTOLD)
-        """For bodies that are too large to be held freely."""
-        self.draining = False
 
     def configure(self) -> None:
         """Take the names, and the share of descriptors, from the ledger's settings."""
@@ -34,19 +35,31 @@
         self.waits = [c.deadline for c in settings.classes]
         self.divide()
 
-    def give(self, taken: int) -> None:
-        """Room that is free again goes to those that wait for it."""
-        if not taken:
-            return
-        self.room.give(taken)
-        for who, need in self.room.granted():
-            cast(ServerConnection, who).granted(need)
+    def take(self, told: Incoming, answer: Callable[[Final | Answer], None]) -> None:
+        self.ledger.take(told, answer)
+
+    def abandon(self, request_id: str) -> None:
+        self.ledger.leave(request_id)
+
+    def uploaded(self, request_id: str) -> None:
+        self.ledger.uploaded(request_id)
+
+    def replies(self, told: Incoming) -> Replies:
+        return self.ledger.counts.of(self.ledger.settings.classes[told.klass].name)
+
+    def unread(self, sock: Any) -> bool:
+        return self.ledger.host.unread(sock)
+
+    def waited(self, transport: asyncio.BaseTransport, first: bool) -> float:
+        return self.ledger.waited(transport, first)
 
-    def connection(self) -> ServerConnection:
-        return ServerConnection(self)
+    def answers_itself(self, whole: Whole) -> Answer | None:
+        if whole.method == "GET" and whole.target == HEALTH:
+            return Answer(200 if self.ledger.ready else 500)
+        return None
 
-    def begin_drain(self) -> None:
-        self.draining = True
+    def passing(self, by: int) -> None:
+        self.ledger.counts.concurrent += by
 
     def read(self, method: str, target: str, headers: Headers, body: bytes | Body, waited: float) -> Incoming:
         """A request that has ``waited`` so many ms here, checked: guards against the balancer being fed what it can't
--- a/zinclever/http1/server.py
+++ b/zinclever/http1/server.py
@@ -17,11 +17,10 @@
 from .heads import Answer, Rejected, Whole, render, render_head
 
 if TYPE_CHECKING:
-    from .front import Front
+    from .desk import Desk
 
 log = logging.getLogger(__name__)
 
-HEALTH = "/_health"
 VERSIONS = ("1.1", "1.0")
 MOST_UPLOAD = 40 << 20  # bytes of a request's body: the longest have 32 MB
 MOST_CHUNKED = 4 * MOST_BODY  # raw bytes of a body's chunks beyond ...
@@ -40,7 +39,7 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: Desk) -> None:
         self.front = front
         self.state = State.READING
         self.heard_at = front.loop.time()  # when it connected, or last sent something
@@ -80,11 +79,11 @@
         if self.source is not None:
             self.end_source()
         if self.request_id is not None:
-            self.front.ledger.leave(self.request_id)
+            self.front.abandon(self.request_id)
 
     def data_received(self, data: bytes) -> None:
         self.raw += len(data)
-        self.waited = self.front.ledger.waited(self.transport, self.fresh)
+        self.waited = self.front.waited(self.transport, self.fresh)
         self.fresh = False
         self.heard_at = self.front.loop.time()
         if self.ending:
@@ -203,7 +202,7 @@
 
     def begin_upload(self) -> None:
         """Hand on a request whose body is still coming in, unless another one is before it on this connection."""
-        if self.upload is not None or self.ending or self.owing() or self.queue or self.paused:
+        if self.upload is not None or self.ending or self.owing() or self.queue or self.paused or self.front.whole_only:
             return
         body = Body(self.length)
         if self.turned_away:
@@ -227,7 +226,7 @@
         assert self.request_id is not None
         request_id = self.request_id
         body.finish()
-        self.front.ledger.uploaded(request_id)
+        self.front.uploaded(request_id)
 
     def give_up_upload(self) -> None:
         """What has come of a body will not be whole, or is of no use: nothing more goes out of it."""
@@ -235,7 +234,7 @@
             self.upload = None
             request_id, self.request_id = self.request_id, None
             if request_id is not None:
-                self.front.ledger.leave(request_id)
+                self.front.abandon(request_id)
 
     def finds_no_room(self) -> None:
         """A refusal: nothing of the request has gone out."""
@@ -288,8 +287,9 @@
         """Hand a request on, or answer it from here."""
         self.keep, self.version, self.out_room = whole.keep, whole.version, whole.room
         self.front.enter(self, State.BUSY)
-        if whole.method == "GET" and whole.target == HEALTH:
-            self.answer(Answer(200 if self.front.ledger.ready else 500))
+        own = self.front.answers_itself(whole)
+        if own is not None:
+            self.answer(own)
             return
         waited = 1000.0 * (self.front.loop.time() - whole.at)
         told = self.front.read(whole.method, whole.target, whole.headers, whole.body, waited)
@@ -300,20 +300,20 @@
 
     def refuse(self, told: Incoming) -> None:
         """Nothing of it goes out: a repeat is harmless."""
-        ledger = self.front.ledger
-        ledger.counts.of(ledger.settings.classes[told.klass].name).refused += 1
+        self.front.replies(told).refused += 1
         self.keep = False
         self.answer(Answer(503, ADVICE))
 
     def hand_on(self, told: Incoming) -> None:
         self.request_id = told.id
-        ledger = self.front.ledger
-        self.replies = ledger.counts.of(ledger.settings.classes[told.klass].name)
-        ledger.take(told, self.finish)
-
-    def finish(self, final: Final) -> None:
-        """The ledger's final answer."""
-        if isinstance(final, Served):
+        self.replies = self.front.replies(told)
+        self.front.take(told, self.finish)
+
+    def finish(self, final: Final | Answer) -> None:
+        """The final answer: the ledger's, or one that is worded already."""
+        if isinstance(final, Answer):
+            self.answer(final)
+        elif isinstance(final, Served):
             reply: Reply = final.reply
             if reply.rest is not None:
                 self.pass_on(reply, reply.rest)
@@ -375,7 +375,7 @@
             rest.abort()
             return
         self.source = rest
-        self.front.ledger.counts.concurrent += 1
+        self.front.passing(1)
         self.chunked = rest.length is None and self.version == "1.1"
         self.stays()
         if rest.length is None and not self.chunked:
@@ -393,7 +393,7 @@
     def end(self, whole: bool) -> None:
         """The answer is whole, or its source has broken off: then the connection does, so that the client can tell."""
         self.source = None
-        self.front.ledger.counts.concurrent -= 1
+        self.front.passing(-1)
         if self.transport.is_closing():
             return
         if not whole:
@@ -409,7 +409,7 @@
         """The client has left, or is left: the rest is of no use."""
         source, self.source = self.source, None
         if source is not None:
-            self.front.ledger.counts.concurrent -= 1
+            self.front.passing(-1)
             source.abort()
 
     def go_on(self) -> None:
@@ -493,7 +493,7 @@
         """
         if self.started or self.ending:
             return False
-        if self.front.ledger.host.unread(self.transport.get_extra_info("socket")):
+        if self.front.unread(self.transport.get_extra_info("socket")):
             return False
         self.close()
         return True
--- a/zinclever/native.py
+++ b/zinclever/native.py
@@ -27,7 +27,7 @@
     "zinclever.policy.learning", "zinclever.policy.overdue", "zinclever.policy.balancer", "zinclever.core.protocol",
     "zinclever.core.counts", "zinclever.core.descriptors", "zinclever.core.pools", "zinclever.core.ledger",
     "zinclever.http1.bodies", "zinclever.http1.connection", "zinclever.http1.wire", "zinclever.http1.heads",
-    "zinclever.http1.clients", "zinclever.http1.server", "zinclever.http1.front",
+    "zinclever.http1.clients", "zinclever.http1.server", "zinclever.http1.desk", "zinclever.http1.front",
 )
 VARIABLE = "ZINCLEVER_NATIVE"
 """Names another folder, or is ``text``: everything runs as it is written."""
