Keepers decide what their endpoints take; requests prefer their zone; lines of those that left are not cut

Inner calls were refused, and their parents' runs lost with them.

Change: admission in the mesh is the keepers': bounded turns by rank, inner calls first, copies only on idle slots. A full endpoint is not asked again for 30 ms. Lines to those that left are closed only when nothing is out on them.

--- a/zinclever/hive/comb/order.py
+++ b/zinclever/hive/comb/order.py
@@ -109,6 +109,7 @@
         self.accepted, self.settled = accepted, Change()
         self.out: list[Act] = []
         self.phase = Phase.WAITING
+        self.began = self.courted_at = now
         self.acting = ""  # disk of the one that acts, as far as is known
         self.heard_acting = -1e9
         self.heard: dict[str, float] = {}
@@ -183,6 +184,8 @@
             if now - self.phase_at > COURT_FOR:
                 self.become(Phase.FOLLOWS, now)
                 self.heard_acting = now - SILENT  # the next in order has its turn, too
+            elif now - self.courted_at > HELLO_EACH:
+                self.ask_for_duty(now)
         else:
             self.lead(now)
         for call in [c for c in self.calls if now - c.at > CALL_FOR]:
@@ -214,7 +217,8 @@
             disk = seats[(start + n) % len(seats)]
             if disk == self.me.disk:
                 break
-            if now - self.heard.get(disk, -1e9) < SILENT:  # the dead before this one are passed over
+            # The dead before this one are passed over; after a start nobody is known to be dead.
+            if now - self.heard.get(disk, self.began) < SILENT:
                 turn += 1
         if now - self.heard_acting > SILENT + STEP * turn and now - self.phase_at > STEP * turn:
             self.court(now)
@@ -225,8 +229,19 @@
         self.epoch = self.vow.epoch + 1
         self.vow = Vow(self.epoch, self.me.disk)
         mine = self.promise(True, self.epoch)
-        self.save(None, [Say(self.me, mine), *(
-            Say(s, Comb(kind=Kind.COURT, disk=self.me.disk, epoch=self.epoch)) for s in self.others())])
+        self.save(None, [Say(self.me, mine), *self.courting()])
+        self.courted_at = now
+
+    def courting(self) -> list[Say]:
+        """To those that have not answered."""
+        return [Say(s, Comb(kind=Kind.COURT, disk=self.me.disk, epoch=self.epoch, seat=self.me))
+                for s in self.others() if s.disk not in self.promises]
+
+    def ask_for_duty(self, now: float) -> None:
+        """Again: a member may have come up only now."""
+        if self.me.disk in self.promises:  # else its own vow is not on disk yet
+            self.courted_at = now
+            self.out += self.courting()
 
     def lead(self, now: float) -> None:
         """The duty: what is proposed goes on, members that are behind are told, the view follows who is there."""
--- a/zinclever/hive/dance/links.py
+++ b/zinclever/hive/dance/links.py
@@ -247,10 +247,12 @@
             line = self.lines[address] = Line(address, self.hello)
         return line
 
-    def drop(self, address: Address) -> None:
-        """Nobody is there any more."""
-        line = self.lines.pop(address, None)
-        if line is not None:
+    def retire(self, address: Address) -> None:
+        """Nobody is to be asked there any more. What is out goes on: whoever left ends it, and a silent link is noticed
+        by itself; news that somebody is gone is no reason to give up what runs there."""
+        line = self.lines.get(address)
+        if line is not None and not line.calls and not line.waiting:
+            del self.lines[address]
             line.close()
 
     def close(self) -> None:
--- a/zinclever/hive/forage/egress.py
+++ b/zinclever/hive/forage/egress.py
@@ -30,16 +30,19 @@
 class Egress(Desk):
     """Takes the requests of this machine's clients and of its endpoint."""
 
-    def __init__(self, descriptors: Descriptors, host: Host, pantry: Pantry, flights: Flights, service: str) -> None:
+    def __init__(self, descriptors: Descriptors, host: Host, pantry: Pantry, flights: Flights, service: str,
+                 runs: Callable[[str], bool]) -> None:
         super().__init__(descriptors)
         self.host, self.pantry, self.flights = host, pantry, flights
         self.caller = b"X-Caller-Service: %b\r\n" % service.encode("latin-1")
+        self.runs = runs
+        """Whether the endpoint of this machine is at work on a request with this id."""
         self.whole_only = True
         self.number = 0
         self.open: dict[str, Order] = {}
         self.turns: dict[str, dict[str, float]] = {}
         self.counted = Replies()
-        self.counts = {"served": 0, "refused": 0, "failed": 0, "unknown": 0, "left": 0}
+        self.counts = {"served": 0, "refused": 0, "failed": 0, "unknown": 0, "left": 0, "untried": 0}
 
     def read(self, method: str, target: str, headers: Headers, body: bytes | Body, waited: float) -> Incoming:
         assert isinstance(body, bytes)
@@ -70,9 +73,13 @@
         now = self.loop.time()
         head = b"%b %b HTTP/1.1\r\n%b%b" % (
             method.encode(), target.encode("latin-1"), end_to_end(headers, OURS), self.caller)
+        named = request_id.decode("latin-1")
+        # A call of the endpoint's own extends the id of the request that it is at work on. What is claimed counts only
+        # where that request is at work here.
+        inner = "." in named and self.runs(named.rpartition(".")[0])
         order = Order(
-            service, request_id.decode("latin-1"), head, body, method not in ("GET", "HEAD") or bool(body),
-            route.safe, int(route.priority), now + route.aim, route.attempts, now,
+            service, named, head, body, method not in ("GET", "HEAD") or bool(body),
+            route.safe, int(route.priority), now + route.aim, route.attempts, now, inner,
         )
         flight = self.flights.to(service)
         return Incoming(number, flight.klass(route, deadline), 0, "", 1000.0 * wait, 0.0, False, order)
@@ -113,6 +120,7 @@
             return Answer(reply.status, end_to_end(reply.headers, TO_CLIENTS), reply.body)
         if isinstance(made, Refused) and not order.ran:
             self.counts["refused"] += 1
+            self.counts["untried"] += not order.tries
             return Answer(503, b"Retry-After: %.3f\r\n" % max(0.02, made.retry_after / 1000.0, self.advice(order)))
         self.counts["failed"] += 1
         if made.reply is not None:
--- a/zinclever/hive/forage/flights.py
+++ b/zinclever/hive/forage/flights.py
@@ -13,11 +13,13 @@
 from ...policy import Balancer
 from ...policy.requests import Klass
 from ..honey.recipe import Route
+from .admission import open_up
 from .hop import HopWire
 from .thrift import Thrift
 
 MOST_TRIES = 6  # attempts of a request that reach a keeper: those that reach an endpoint are the route's
 CONNECT_FOR = 400.0  # ms: of it a keeper that can't be reached is left alone a multiple
+CROSSING = 0.06  # of a request's worth that leaving the zone costs: enough that home is preferred where it is as good
 LATE_WORTH = 0.3  # of its worth that an answer between aim and deadline is taken to have
 
 
@@ -62,9 +64,11 @@
             classes=self.classes,
             limits=i.Limits(max_attempts=MOST_TRIES, cancel=True, second_copies=True, connect_timeout=CONNECT_FOR),
             rules=i.Rules(cold_share=0.5, cold_for=3000.0), zone=zone, group_size=max(1, sidecars),
+            prices=i.Prices(cross_zone=CROSSING),
         )
         self.known: Known | None = None
         self.balancer = Balancer(settings, host.random().getrandbits(64))
+        open_up(self.balancer)
         self.ledger = Ledger(self.balancer, wire, self.make_source, descriptors, host)
 
     def make_source(self, on_list: OnList) -> Known:
@@ -88,8 +92,7 @@
                 value=1.0 / (1.0 + route.priority), name=f"{'safe' if route.safe else 'unsafe'} {route.aim:g}",
             )
             self.classes.append(told)
-            for balancer in {self.balancer, self.ledger.balancer}:
-                extend(balancer, told)
+            extend(self.balancer, told)
         return found
 
 
--- a/zinclever/hive/forage/hop.py
+++ b/zinclever/hive/forage/hop.py
@@ -16,17 +16,19 @@
 
 WHOLE = 64 * 1024  # bytes of a body that go in one frame: a longer one leaves room for others between its pieces
 
-FULL: Sequence[int] = (Verdict.NEVER, Verdict.FULL)
+FULL_FOR = 0.03  # s for which an endpoint that had no room is taken to have none
 
 
 class Order:
     """What goes to an endpoint for one request, and what is known of its attempts."""
 
-    __slots__ = ("aim_at", "body", "framed", "head", "id", "most", "offered", "priority", "ran", "safe", "service",
-                 "since", "why")
+    __slots__ = ("aim_at", "body", "framed", "head", "id", "inner", "live", "most", "offered", "priority", "ran",
+                 "safe", "service", "since", "tries", "why")
 
     def __init__(self, service: str, id: str, head: bytes, body: bytes, framed: bool, safe: bool, priority: int,
-                 aim_at: float, most: int, since: float) -> None:
+                 aim_at: float, most: int, since: float, inner: bool) -> None:
+        self.inner = inner
+        self.tries = self.live = 0
         self.service, self.id, self.head, self.body, self.framed = service, id, head, body, framed
         self.safe, self.priority, self.aim_at, self.most, self.since = safe, priority, aim_at, most, since
         self.offered = 0
@@ -47,7 +49,8 @@
 class Hop:
     """One attempt: an :class:`~zinclever.core.protocol.Exchange`."""
 
-    __slots__ = ("body", "counted", "ended", "job", "line", "order", "sent", "stream", "wanted", "wire", "yielded")
+    __slots__ = ("body", "copy", "counted", "ended", "job", "line", "order", "out", "out_to", "sent", "stream",
+                 "wanted", "wire", "yielded")
 
     def __init__(self, wire: HopWire, order: Order, ended: Ended) -> None:
         self.wire, self.order = wire, order
@@ -55,7 +58,8 @@
         self.job: Job | None = None
         self.line: Line | None = None
         self.stream = 0
-        self.sent = False
+        self.sent = self.out = self.copy = False
+        self.out_to = ""
         self.counted = False
         """It stands in the budget as a further try."""
         self.yielded: Yield | None = None
@@ -69,6 +73,7 @@
         if self.ended is None:
             return
         self.ended = None
+        self.over()
         if self.sent:
             self.order.ran = True  # it may yet, until its keeper has heard
         if self.job is not None:
@@ -79,6 +84,11 @@
             else:
                 self.wire.take_back(self)
 
+    def over(self) -> None:
+        if self.out:
+            self.out = False
+            self.order.live -= 1
+
     def on_sent(self) -> None:
         self.sent = True
 
@@ -107,6 +117,7 @@
         ended, self.ended = self.ended, None
         if self.line is not None:
             self.line.over(self.stream)
+        self.over()
         if ended is None:
             return
         order = self.order
@@ -114,6 +125,8 @@
             self.wire.take_back(self)
         order.why = made.why or order.why
         verdict = Verdict(made.verdict) if made.verdict in (1, 2, 3, 4) else Verdict.MAYBE
+        if verdict is Verdict.FULL and self.out_to and not order.inner and not self.copy:
+            self.wire.full_until[self.out_to] = self.wire.loop.time() + FULL_FOR
         if verdict.proves_not_run:
             ended("connect_failed" if made.why == "no link" else "full")
             return
@@ -132,6 +145,8 @@
         self.me, self.keeper, self.line, self.thrift = me, keeper, line, thrift
         self.loop = asyncio.get_running_loop()
         self.places: dict[str, Address] = {}
+        self.full_until: dict[str, float] = {}
+        """Endpoints that had no room a moment ago: nothing is carried there in vain."""
         self.counts = {"sent": 0, "copies": 0, "short": 0}
 
     def configure(self, connect_timeout: float, idle_limit: float, connections: Connections) -> None:
@@ -145,6 +160,7 @@
 
     def forget(self, endpoint: str) -> None:
         self.places.pop(endpoint, None)
+        self.full_until.pop(endpoint, None)
 
     def listed(self) -> Sequence[str]:
         return list(self.places)
@@ -163,6 +179,9 @@
         if address is None:
             self.loop.call_soon(hop.end, Yield(verdict=Verdict.NEVER, why="no link"))
             return hop
+        if not order.inner and self.full_until.get(endpoint, 0.0) > now:
+            self.loop.call_soon(hop.end, Yield(verdict=Verdict.FULL, why="queue"))
+            return hop
         if order.offered:
             if order.offered >= order.most or not self.thrift.may(now):
                 self.counts["short"] += 1
@@ -176,8 +195,12 @@
         load = Load(
             endpoint=endpoint, head=order.head, framed=order.framed, left_ms=max(1, int(1000 * left)),
             aim_ms=max(0, int(1000 * (order.aim_at - now))), priority=order.priority, safe=order.safe, id=order.id,
-            length=len(order.body),
+            length=len(order.body), inner=order.inner, copy=order.live > 0,
         )
+        hop.copy, hop.out_to = order.live > 0, endpoint
+        order.live += 1
+        order.tries += 1
+        hop.out = True
         if address == self.me:
             self.loop.call_soon(self.start_here, hop, load)
             return hop
--- a/zinclever/hive/forage/keeper.py
+++ b/zinclever/hive/forage/keeper.py
@@ -55,7 +55,7 @@
     __slots__ = ("answer", "body", "exchange", "load", "queue", "timer")
 
     def __init__(self, load: Load, body: bytes, answer: Answer, now: float, queue: Queue) -> None:
-        super().__init__(now, load.left_ms / 1000.0, load.aim_ms / 1000.0, load.priority)
+        super().__init__(now, load.left_ms / 1000.0, load.aim_ms / 1000.0, load.priority, load.inner, load.copy)
         self.load, self.body, self.queue = load, body, queue
         self.answer: Answer | None = answer
         self.exchange: Visit | None = None
@@ -77,12 +77,18 @@
         """The endpoint takes new requests."""
         self.queue = Queue(1)
         self.jobs: set[Job] = set()
+        self.running: dict[str, int] = {}
+        """Ids of requests that are at work at the endpoint."""
         self.refused: Callable[[], None] | None = None
         """Told when nobody listens at the endpoint's address."""
         self.counts = {"offered": 0, "ran": 0, "full": 0, "maybe": 0, "gone": 0}
 
     # --- which endpoint there is ---
 
+    def runs(self, request_id: str) -> bool:
+        """Whether a request with this id is at work at the endpoint."""
+        return request_id in self.running
+
     def admit(self, endpoint: str, address: Address, slots: int) -> None:
         """The endpoint there is from now on."""
         if endpoint != self.endpoint:
@@ -124,10 +130,16 @@
             return None
         self.jobs.add(job)
         self.queue.add(job)
-        job.timer = self.loop.call_later(job.left, self.expire, job)
+        job.timer = self.loop.call_later(self.queue.bound(job), self.impatient, job)
         self.move()
         return job
 
+    def impatient(self, job: Job) -> None:
+        """It still waits: it is better told."""
+        if job.exchange is None and job.answer is not None:
+            self.counts["full"] += 1
+            self.turn_back(job, Verdict.FULL, "queue")
+
     def move(self) -> None:
         """Begin what there is room for."""
         while self.open:
@@ -136,15 +148,16 @@
                 break
             assert isinstance(job, Job)
             self.begin(job)
-        for late in self.queue.hopeless(self.loop.time()):
-            assert isinstance(late, Job)
-            self.turn_back(late, Verdict.FULL, "late")
 
     def begin(self, job: Job) -> None:
         load = job.load
         left = job.since + job.left - self.loop.time()
+        if job.timer is not None:
+            job.timer.cancel()
+        job.timer = self.loop.call_later(max(0.0, left), self.expire, job)
         head = load.head + TAIL % (load.endpoint.encode(), max(1, int(1000 * left)))
         self.counts["offered"] += 1
+        self.running[load.id] = self.running.get(load.id, 0) + 1
         visit = Visit(head, job.body, load.framed, partial(self.ended, job), 0.0, nothing)
         visit.id = load.id.encode("latin-1")
         job.exchange = visit
@@ -154,6 +167,7 @@
     def ended(self, job: Job, outcome: i.Outcome, reply: Reply | None = None, report: object = None) -> None:
         """The endpoint has answered, or its connection tells how far a request got."""
         job.exchange = None
+        self.stopped(job)
         now = self.loop.time()
         worked = now - job.begun
         if reply is None:
@@ -178,6 +192,12 @@
         self.tell(job, made)
         self.move()
 
+    def stopped(self, job: Job) -> None:
+        """It is at work no more."""
+        left = self.running.pop(job.load.id, 1) - 1
+        if left > 0:
+            self.running[job.load.id] = left
+
     def turn_back(self, job: Job, verdict: Verdict, why: str) -> None:
         """A job that has not begun goes elsewhere."""
         job.queue.drop(job)
@@ -202,6 +222,7 @@
         self.jobs.discard(job)
         if job.exchange is not None:
             exchange, job.exchange = job.exchange, None
+            self.stopped(job)
             exchange.cancel(silent)
             job.queue.left(job)
             self.move()
--- a/zinclever/hive/forage/queue.py
+++ b/zinclever/hive/forage/queue.py
@@ -5,22 +5,27 @@
 SPARE = 0  # requests beyond its slots that an endpoint is sent
 FIRST = 0.1  # s that a run is taken for until one has ended
 WEIGHT = 0.1  # of a run in the mean
-MOST_WAIT = 0.6  # of the aim that is left, up to which waiting is better than going elsewhere
+MOST_WAIT = 0.2  # of the aim that is left, up to which waiting is better than going elsewhere, or coming again
+MOST_INNER = 0.7  # of the deadline that is left, for an inner call: with it its parent's run is lost
+COPIES = 0.7  # of the slots in use, from which on no copy is taken
 
 
 class Waiting:
     """One that waits for its turn, or has it."""
 
-    __slots__ = ("aim", "begun", "left", "priority", "since")
+    __slots__ = ("aim", "begun", "copy", "inner", "left", "priority", "since")
 
-    def __init__(self, since: float, left: float, aim: float, priority: int) -> None:
+    def __init__(self, since: float, left: float, aim: float, priority: int, inner: bool = False,
+                 copy: bool = False) -> None:
         self.since, self.left, self.aim, self.priority = since, left, aim, priority
         """Instants and spans in s: when it came, what was left of its deadline then, and of its aim."""
+        self.inner, self.copy = inner, copy
         self.begun = 0.0
 
-    def rank(self, now: float) -> tuple[bool, int, float]:
-        """Lower goes first: who can still be in aim, by priority, by age."""
-        return self.since + self.aim <= now, self.priority, self.since
+    def rank(self, now: float) -> tuple[bool, bool, int, float]:
+        """Lower goes first: inner calls, whose parents hold a slot elsewhere; who can still be in aim; by priority; by
+        age."""
+        return not self.inner, self.since + self.aim <= now, self.priority, self.since
 
 
 class Queue:
@@ -41,17 +46,27 @@
 
     def wait_for(self, w: Waiting) -> float:
         """s that one would wait, as far as can be told."""
-        ahead = sum(1 for o in self.waiting if o.priority <= w.priority)
+        ahead = sum(1 for o in self.waiting if o.inner or (not w.inner and o.priority <= w.priority))
         over = self.busy + ahead + 1 - self.slots - SPARE
         return max(0.0, over / self.slots * self.usual())
 
     def admits(self, now: float, w: Waiting) -> bool:
         """Whether waiting here can end in time."""
+        if w.copy:
+            return not self.waiting and self.busy < COPIES * self.slots
         wait = self.wait_for(w)
         if wait <= 0.0:
             return True
+        if w.inner:
+            return wait <= MOST_INNER * w.left
         return wait <= MOST_WAIT * (w.aim if w.aim > 0.0 else w.left)
 
+    def bound(self, w: Waiting) -> float:
+        """s after which one that still waits is told that there is no room: inner calls may have come before it."""
+        if w.inner:
+            return MOST_INNER * w.left
+        return min(w.left, 0.005 + MOST_WAIT * (w.aim if w.aim > 0.0 else w.left))
+
     def add(self, w: Waiting) -> None:
         self.waiting.append(w)
 
@@ -64,10 +79,6 @@
         self.busy += 1
         return chosen
 
-    def hopeless(self, now: float) -> list[Waiting]:
-        """Those that can't end within their deadline any more."""
-        return [w for w in self.waiting if w.since + w.left < now + 0.5 * self.usual()]
-
     def left(self, w: Waiting) -> None:
         """One that had its turn is through."""
         self.busy -= 1
--- a/zinclever/hive/roles/colony.py
+++ b/zinclever/hive/roles/colony.py
@@ -94,7 +94,7 @@
             self.fetch(record, teller)
         if record.kind == BEE and record.rank >= 2:
             bee = Bee.FromString(record.body)
-            self.lines.drop((bee.ip, bee.port))
+            self.lines.retire((bee.ip, bee.port))
         for listener in self.news:
             listener(record)
 
@@ -115,7 +115,9 @@
     def in_force(self, number: int, generation: int, text: bytes) -> None:
         """A settled configuration has come here by whatever way: it holds from now on, and others may ask for it."""
         try:
-            self.pantry.take(number, generation, text)
+            if self.pantry.take(number, generation, text):
+                log.info("configuration in force", extra={"code": "CONFIG_IN_FORCE", "number": number,
+                                                          "generation": generation})
         except HiveError as wrong:
             log.error("a settled configuration can't be read", extra={"code": wrong.code, "field": wrong.field})
             return
--- a/zinclever/hive/roles/forager.py
+++ b/zinclever/hive/roles/forager.py
@@ -29,6 +29,7 @@
 log = logging.getLogger(__name__)
 
 MISSED = 3.4  # beats after which an endpoint that says nothing is taken for gone
+COUNT_EACH = 10.0  # s between two lines of counters
 LOOK = 0.5  # s between two looks at it
 MOST_BODY = 80 << 20  # bytes of a load
 SERVES_ON = 2.4  # s after SIGTERM for which clients still come: the platform asks once a second, and wants two misses
@@ -58,13 +59,15 @@
         self.keeper = Keeper(self.host, self.colony.descriptors)
         self.keeper.refused = self.on_refused
         self.flights = Flights(self.make_flight)
-        self.egress = Egress(self.colony.descriptors, self.host, self.colony.pantry, self.flights, boot.service)
+        self.egress = Egress(self.colony.descriptors, self.host, self.colony.pantry, self.flights, boot.service,
+                             self.keeper.runs)
         self.desks: list[tuple[Desk, str]] = [(self.egress, "Egress")]
         self.servers: list[asyncio.Server] = []
         self.incoming: dict[tuple[Link, int], Incoming] = {}
         self.beat_at = -1e9  # when the endpoint was last heard
         self.life = 0
         self.ending = False
+        self.told_ready = False
         self.stale: set[str] = set()
         self.refreshing = False
         self.colony.frames.update(load=self.on_load, piece=self.on_piece, cancel=self.on_cancel)
@@ -88,6 +91,7 @@
                 server = await self.loop.create_server(desk.connection, *boot.bind[name], backlog=BACKLOG)
                 self.servers.append(server)
         self.look()
+        self.loop.call_later(COUNT_EACH, self.count)
 
     # --- the platform ---
 
@@ -97,7 +101,12 @@
                     and any(f.ledger.ready for f in self.flights.flights.values()))
 
     def on_ready(self, call: Call) -> Answer:
-        return say(200 if self.ready() else 503)
+        ready = self.ready()
+        if ready is not self.told_ready:
+            self.told_ready = ready
+            log.info("ready" if ready else "not ready", extra={"code": "READY", "met": self.colony.swarm.met,
+                                                               "number": self.colony.pantry.number})
+        return say(200 if ready else 503)
 
     async def stop(self, grace: float) -> None:
         """End in order: others stop coming first, what runs is finished."""
@@ -149,8 +158,12 @@
                 self.end(old)
             host, _, port = cell.address.rpartition(":")
             address = self.boot.app or (host, int(port))
+            if endpoint != old or not self.keeper.open:
+                log.info("endpoint admitted", extra={"code": "ENDPOINT_READY", "endpoint": endpoint})
             self.keeper.admit(endpoint, address, cell.slots)
         elif endpoint == self.keeper.endpoint:
+            if self.keeper.open:
+                log.info("endpoint drains", extra={"code": "ENDPOINT_DRAINS", "endpoint": endpoint})
             self.keeper.close()
 
     def on_departure(self, call: Call) -> Answer:
@@ -167,6 +180,13 @@
             seq = max(seq, known.seq if known is not None else 0)
             self.colony.tell(Record(kind=ENDPOINT, id=endpoint, life=life, seq=seq, rank=GONE, body=body))
 
+    def count(self) -> None:
+        """A line of counters now and then: they say more than a line for each thing that happens."""
+        self.loop.call_later(COUNT_EACH, self.count)
+        hops = {s: dict(f.wire.counts) for s, f in self.flights.flights.items()}
+        log.info("counts", extra={"code": "COUNTS", "egress": self.egress.counts, "keeper": self.keeper.counts,
+                                  "hops": hops, "swarm": self.colony.swarm.counts})
+
     def look(self) -> None:
         """Whether the endpoint still beats."""
         self.loop.call_later(LOOK, self.look)
--- a/zinclever/hive/wax/generations.py
+++ b/zinclever/hive/wax/generations.py
@@ -3,7 +3,8 @@
 ``dbm.dumb`` rewrites its index in place and syncs nothing. So nothing is ever written to a pair of files that counts:
 each change makes a new pair under the next number, whose records end with a seal over all of them; the pair is synced,
 and only then the one before the last is removed. At a start the highest pair with a sound seal holds. A new file
-persists through its own sync (``DEPLOY.md``), so that no pointer to it is needed. Source: ALICE (Pillai and others, 2014).
+persists through its own sync (``DEPLOY.md``), so that no pointer to it is needed. Source: ALICE (Pillai and others,
+2014).
 """
 
 from __future__ import annotations
