--- a/zinclever/hive/forage/admission.py
+++ b/zinclever/hive/forage/admission.py
@@ -7,6 +7,8 @@
 
 from ...policy import Balancer
 from ...policy.admission import Admission
+from ...policy.cold import Cold
+from ...policy.endpoints import Endpoint
 from ...policy.requests import Request
 from ...policy.sides import Side
 
@@ -41,9 +43,25 @@
         heapq.heappush(self.patience, (r.deadline - told.deadline + HELD * told.aim, self.count, r))
 
 
+class Unguarded(Cold):
+    """Fresh endpoints need no guard here: their keepers send them no more than they have slots. What the guard of a
+    sidecar that is alone goes by, what warm ones answer to it, is nothing after a start of all."""
+
+    def cold(self, now: float, e: Endpoint) -> bool:
+        return False
+
+    def warm_enough(self, now: float, e: Endpoint) -> bool:
+        return True
+
+    def sent(self, now: float, e: Endpoint) -> None:
+        """Nothing is saved up."""
+
+
 def open_up(balancer: Balancer) -> None:
-    """Have a balancer that has served nothing yet leave admission to the keepers."""
+    """Have a balancer that has served nothing yet leave admission, and the guard of what is cold, to the keepers."""
     old = balancer.admission
     made = Open(old.settings, old.classes, old.tenants, old.list, old.crossing, old.rng)
     balancer.admission = balancer.learning.admission = made
     made.start()
+    cold = Unguarded(balancer.settings, balancer.list)
+    balancer.cold = balancer.draws.cold = balancer.learning.cold = cold
--- a/zinclever/hive/forage/flights.py
+++ b/zinclever/hive/forage/flights.py
@@ -63,7 +63,7 @@
         settings = i.Settings(
             classes=self.classes,
             limits=i.Limits(max_attempts=MOST_TRIES, cancel=True, second_copies=True, connect_timeout=CONNECT_FOR),
-            rules=i.Rules(cold_share=0.5, cold_for=3000.0), zone=zone, group_size=max(1, sidecars),
+            zone=zone, group_size=max(1, sidecars),
             prices=i.Prices(cross_zone=CROSSING),
         )
         self.known: Known | None = None
--- a/zinclever/hive/roles/forager.py
+++ b/zinclever/hive/roles/forager.py
@@ -307,8 +307,7 @@
             if bee is None or (swarm.standing(cell.keeper) or 0) >= Standing.DEAD:
                 continue
             phase: i.Phase = "ready" if record.rank == READY else "draining"
-            listed = i.Listed(record.id, phase, float(cell.slots), zones.get(bee.zone, 0), 0,
-                              max(0.0, cell.cold_until - 3000.0) if cell.cold_until else 0.0)
+            listed = i.Listed(record.id, phase, float(cell.slots), zones.get(bee.zone, 0))
             by_service[cell.service].append((listed, (bee.ip, bee.port)))
         sidecars = self.sidecars()
         for service, entries in by_service.items():
