Tests of the mesh: its order, swarm, disk, budget, turns and whole path; three faults of the order mended

Found by the tests, each with its test: a member that hears nobody kept asking for the duty and took it from those who could have it (one-way cut); the first view could never be settled anew by another than its founder (first machine cut off before the first configuration); a change taken over could differ between memory and disk. Files whose sync failed are never used again, also after they were read anew.

--- /dev/null
+++ b/tests/hive/test_forage.py
@@ -0,0 +1,114 @@
+"""Turns at an endpoint, and the budget that all sidecars share."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hive.cases import params
+from zinclever.hive.forage.queue import Queue, Waiting
+from zinclever.hive.forage.thrift import Thrift
+from zinclever.hive.verdict import Verdict
+
+
+def waiting(since: float = 0.0, aim: float = 0.6, left: float = 1.5, priority: int = 1, inner: bool = False,
+            copy: bool = False) -> Waiting:
+    return Waiting(since, left, aim, priority, inner, copy)
+
+
+class Turns(unittest.TestCase):
+    @params(
+        ("room", 3, 0, {}, True), ("full, a short wait", 4, 0, {}, True), ("full, a long wait", 4, 8, {}, False),
+        ("an inner call waits for longer", 4, 8, {"inner": True}, True), ("a copy on an idle slot", 1, 0,
+                                                                         {"copy": True}, True),
+        ("a copy where it is busy", 3, 0, {"copy": True}, False), ("little of its aim is left", 4, 2,
+                                                                   {"aim": 0.05}, False),
+        ("a higher rank passes those that wait", 4, 8, {"priority": 0}, True),
+    )
+    def test_admits(self, name: str, busy: int, queued: int, told: dict[str, bool], want: bool) -> None:
+        q = Queue(4)
+        q.learn(0.1)
+        q.busy = busy
+        for _ in range(queued):
+            q.add(waiting())
+        self.assertEqual(q.admits(0.0, waiting(**told)), want, name)
+
+    def test_order_of_turns(self) -> None:
+        q = Queue(1)
+        late, low, high, inner = waiting(-1.0), waiting(0.1, priority=2), waiting(0.2, priority=0), waiting(
+            0.3, priority=9, inner=True)
+        for w in (late, low, high, inner):
+            q.add(w)
+        seen = []
+        while (turn := q.next(0.4)) is not None:
+            seen.append(turn)
+            q.left(turn)
+        self.assertEqual(seen, [inner, high, low, late])
+
+    def test_never_more_than_its_slots(self) -> None:
+        q, rng, out = Queue(6), random.Random(3), []
+        for n in range(2000):
+            q.add(waiting(n * 0.01))
+            while (turn := q.next(n * 0.01)) is not None:
+                out.append(turn)
+            self.assertLessEqual(q.busy, 6)
+            if out and rng.random() < 0.5:
+                q.left(out.pop())
+            if q.waiting and rng.random() < 0.5:
+                q.drop(rng.choice(q.waiting))
+
+
+class Budget(unittest.TestCase):
+    """The rule's own words, over sidecars that come and go: none is asked about another."""
+
+    RATIO, WINDOW, SLACK = 0.2, 10.0, 60.0
+
+    @params(3, 15, 60)
+    def test_the_sum_stays_under_the_rule(self, sidecars: int) -> None:
+        rng = random.Random(sidecars)
+        asked: list[float] = []
+        further: list[float] = []
+        parts = [Thrift(self.RATIO, self.WINDOW, self.SLACK) for _ in range(sidecars)]
+        for part in parts:
+            part.sidecars = sidecars
+        now = 0.0
+        while now < 60.0:
+            now += rng.expovariate(200.0)
+            if 20.0 < now < 23.0 and rng.random() < 0.97:
+                continue  # hardly anything is asked
+            if rng.random() < 0.001:  # one is started anew, and knows nothing of what it spent
+                parts[rng.randrange(sidecars)] = made = Thrift(self.RATIO, self.WINDOW, self.SLACK)
+                made.sidecars = sidecars
+            part = parts[int(rng.random() ** 2 * sidecars)]
+            part.ask(now)
+            asked.append(now)
+            for _ in range(3):  # everything is tried again, as often as it may
+                if part.may(now):
+                    part.spend(now)
+                    further.append(now)
+        self.assertGreater(len(further), 0.05 * len(asked))
+        for n in range(0, 500):
+            at = n * 0.1
+            used = sum(at <= t < at + self.WINDOW for t in further)
+            begins = (at, at - self.WINDOW, at - self.WINDOW / 2)
+            most = max(sum(a <= t < a + self.WINDOW for t in asked) for a in begins)
+            self.assertLessEqual(used, self.RATIO * most + self.SLACK)
+
+    def test_what_reached_nobody_is_given_back(self) -> None:
+        part = Thrift(0.2, 10.0, 0.0)
+        for n in range(100):
+            part.ask(n * 0.01)
+        while part.may(1.0):
+            part.spend(1.0)
+        part.refund(1.0)
+        self.assertTrue(part.may(1.0))
+
+
+class Verdicts(unittest.TestCase):
+    @params((Verdict.NEVER, True), (Verdict.FULL, True), (Verdict.MAYBE, False), (Verdict.RAN, False))
+    def test_what_proves_that_nothing_ran(self, verdict: Verdict, want: bool) -> None:
+        self.assertEqual(verdict.proves_not_run, want)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/hive/test_mesh.py
@@ -0,0 +1,237 @@
+"""The whole path on real sockets: what clients, endpoints and operators see."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from hive.cases import params
+from hive.mesh import Mesh, Plan, away, config, good, run, until
+
+
+def other_id(headers: dict[str, str]) -> bytes:
+    return good({"x-attempt-id": "another"})
+
+
+def surplus(headers: dict[str, str]) -> bytes:
+    return good(headers) + good({"x-attempt-id": "another"})
+
+
+def short(headers: dict[str, str]) -> bytes:
+    return good(headers)[:-2].replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+
+
+def no_seal(headers: dict[str, str]) -> bytes:
+    return good(headers).replace(b"X-Server-Seal: s\r\n", b"")
+
+
+def coded(headers: dict[str, str]) -> bytes:
+    return good(headers).replace(b"X-Server-Seal", b"Content-Encoding: gzip\r\nX-Server-Seal")
+
+
+def noise(headers: dict[str, str]) -> bytes:
+    return b"\x00\x01not HTTP at all\r\n\r\n"
+
+
+def silence(headers: dict[str, str]) -> None:
+    return None
+
+
+def failed(headers: dict[str, str]) -> bytes:
+    return good(headers).replace(b"200 OK", b"500 Error")
+
+
+class OneEndpoint(unittest.TestCase):
+    """What an endpoint does, what the client gets, how often it ran."""
+
+    @params(
+        ("good", good, "unsafe", 200, 1), ("good", good, "safe", 200, 1),
+        ("an answer to another request", other_id, "unsafe", 502, 1),
+        ("a surplus answer behind", surplus, "unsafe", 200, 1),
+        ("without the seal", no_seal, "unsafe", 502, 1),
+        ("with an encoding", coded, "unsafe", 502, 1),
+        ("bytes that are no answer", noise, "unsafe", 502, 1),
+        ("closed without a word", silence, "unsafe", 502, 1),
+        ("its own failure", failed, "unsafe", 500, 1),
+        ("turned away", away, "unsafe", 503, 1),
+    )
+    def test_answers(self, name: str, plan: Plan, kind: str, status: int, runs: int) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"], {0: plan}) as m:
+                await m.serve()
+                for at in (0, 1):  # beside the endpoint, and over a hop
+                    before = m.runs()
+                    got, headers, body = await m.ask(f"/one/{kind}/x", "POST", at, b"body")
+                    self.assertEqual(got, status, name)
+                    self.assertEqual(m.runs() - before, runs, name)
+                    if got == 200:
+                        self.assertEqual((body, headers["x-server-seal"]), (b"made", "s"))
+                    elif got == 503:
+                        self.assertGreater(float(headers["retry-after"]), 0.0)
+
+        run(test)
+
+    def test_what_the_endpoint_gets(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                body = bytes(range(256)) * 1200  # in several pieces over the hop
+                got, _, _ = await m.ask("/one/unsafe/x?a=%20b&c", "PUT", 1, body, X_Caller_Service="forged",
+                                        X_Expected_Endpoint="forged", X_Other="kept", Connection="X-Hop",
+                                        X_Hop="dropped")
+                self.assertEqual(got, 200)
+                start, headers, came = m.apps[0].seen[0]
+                self.assertEqual(start, "PUT /one/unsafe/x?a=%20b&c HTTP/1.1")
+                self.assertEqual(came, body)
+                self.assertEqual(headers["x-caller-service"], "two")
+                self.assertEqual(headers["x-expected-endpoint"], m.apps[0].id)
+                self.assertEqual((headers["x-other"], headers.get("x-hop")), ("kept", None))
+                self.assertLessEqual(int(headers["x-deadline-ms"]), 3000)
+
+        run(test)
+
+    def test_a_large_answer(self) -> None:
+        async def test() -> None:
+            made = b"0123456789" * 50_000
+            async with Mesh(["one", "two"], {0: lambda h: good(h, made)}) as m:
+                await m.serve()
+                for at in (0, 1):
+                    self.assertEqual((await m.ask("/one/safe/x", at=at))[2], made)
+
+        run(test)
+
+    @params(("/one/safe/x", {}, 200), ("/none/", {}, 404), ("/one/", {}, 404), ("/one/safe/x", {"Host": "b"}, 404),
+            ("/one/safe/x", {"X_Attempt_Id": ""}, 400))
+    def test_routes(self, path: str, headers: dict[str, Any], status: int) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                self.assertEqual((await m.ask(path, **headers))[0], status)
+
+        run(test)
+
+
+class TwoEndpoints(unittest.TestCase):
+    @params(
+        ("safe", silence, 200, 2), ("unsafe", silence, 502, 1), ("safe", failed, 200, 2), ("unsafe", failed, 500, 1),
+        ("safe", away, 200, 2), ("unsafe", away, 200, 2), ("unsafe", other_id, 502, 1), ("safe", other_id, 200, 2),
+    )
+    def test_goes_on_only_where_it_may(self, kind: str, first: Plan, status: int, seen: int) -> None:
+        """The first that has it does harm, the other is well."""
+        async def test() -> None:
+            had: list[str] = []
+
+            def plan(headers: dict[str, str]) -> bytes | None:
+                had.append(headers["x-attempt-id"])
+                return first(headers) if len(had) == 1 else good(headers)
+
+            async with Mesh(["one", "one", "two"], {0: plan, 1: plan}) as m:
+                await m.serve()
+                got, _, _ = await m.ask(f"/one/{kind}/x", "POST", 2, b"body")
+                self.assertEqual((got, len(had)), (status, seen))
+
+        run(test)
+
+
+class Leaving(unittest.TestCase):
+    def test_a_drained_endpoint_gets_nothing_more(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "one", "two"]) as m:
+                await m.serve()
+                self.assertEqual(await m.beat(0, "draining"), 200)
+                for _ in range(20):  # from the first on, whoever knows of it
+                    self.assertEqual((await m.ask("/one/unsafe/x", "POST", 2))[0], 200)
+                self.assertEqual(len(m.apps[0].seen), 0)
+                m.apps[0].seq = 0
+                self.assertEqual(await m.beat(0), 200)  # a late beat
+                self.assertFalse(m.foragers[0].keeper.open)
+
+        run(test)
+
+    def test_a_drain_told_to_the_core(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                app = m.apps[0]
+                status, _, _ = await m.call(f"{m.core}:{m.port + 2}", "POST",
+                                            f"/v1/endpoints/{app.id}/heartbeat", app.beat("draining"))
+                self.assertEqual(status, 200)
+                self.assertFalse(m.foragers[0].keeper.open)  # its keeper knew before it was acknowledged
+
+        run(test)
+
+    def test_a_departure_is_known_everywhere(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "one", "two"]) as m:
+                await m.serve()
+                app = m.apps[0]
+                status, _, _ = await m.call(f"{m.ips[0]}:{m.port + 4}", "POST",
+                                            f"/v1/endpoints/{app.id}/departure")
+                self.assertEqual(status, 200)
+                await until(lambda: all(m.known(f) == 2 for f in m.foragers))
+
+        run(test)
+
+    def test_news_of_a_leaving_sidecar_cuts_nothing(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                await m.ask("/one/safe/x", at=1)
+                address = (m.ips[0], m.port)
+                line = m.foragers[1].colony.line(address)
+                line.calls[999] = lambda frame: None  # something is out on it
+                m.foragers[0].colony.swarm.leave(m.foragers[0].loop.time())
+                m.foragers[0].colony.ground.flush()
+                await until(lambda: (m.foragers[1].colony.swarm.standing(m.foragers[0].colony.name) or 0) > 1)
+                self.assertIsNotNone(line.link)
+
+        run(test)
+
+
+class Operators(unittest.TestCase):
+    def test_changes(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                bad = config("one", generation=2)
+                bad["Routes"]["one-safe"]["Target"] = "nobody"
+                cases: list[tuple[Any, int, int]] = [
+                    (config("one", generation=1), 0, 200),  # the same again
+                    (config("one", generation=2), 0, 412),
+                    (config("one", generation=1), 1, 400),
+                    (bad, 1, 400), (b'{"Generation"', 1, 400),
+                    (config("one", generation=9), 1, 200), (config("one", generation=3), 1, 412),
+                ]
+                for told, base, want in cases:
+                    self.assertEqual((await m.put(told, base))[0], want, (told, base))
+                status, _, text = await m.call(f"{m.core}:{m.port + 2}", "GET", "/v1/config/read")
+                self.assertEqual(status, 200)
+                self.assertIn(b'"Generation":9', text)
+                await until(lambda: m.foragers[0].colony.pantry.generation == 9)
+
+        run(test)
+
+    def test_what_was_acknowledged_is_on_the_disk(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                kept = m.comb.store.changes.load()
+                assert kept is not None
+                self.assertIn(b'"Generation":1', kept[b"change"])
+
+        run(test)
+
+    def test_removed_routes(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                self.assertEqual((await m.put(config("two", generation=2), 1))[0], 200)
+                await until(lambda: all(f.colony.pantry.generation == 2 for f in m.foragers))
+                self.assertEqual((await m.ask("/one/safe/x"))[0], 404)
+                self.assertEqual((await m.ask("/two/safe/x"))[0], 200)
+
+        run(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/hive/test_swarm.py
@@ -0,0 +1,185 @@
+"""Who is there and what is known, in simulated time."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hive.cases import params
+from hive.swarm_world import Field, endpoint
+from zinclever.hive.dance.hive_pb2 import Bee, Record, Waggle
+from zinclever.hive.swarm.records import BEE, FADES, FORGOTTEN, Records
+from zinclever.hive.swarm.swarm import Standing, Swarm
+
+DRAIN_WITHIN = 2.0  # s, by the rules
+
+
+def met(count: int, **more: float) -> Field:
+    f = Field(count, **more)  # type: ignore[arg-type]
+    f.run(5.0)
+    return f
+
+
+class News(unittest.TestCase):
+    @params((15, 0.0), (15, 0.1), (50, 0.0), (50, 0.1))
+    def test_reaches_all_within_the_bound(self, count: int, loss: float) -> None:
+        f = met(count, loss=loss)
+        f.doubles = loss
+        for n in range(6):
+            drain = endpoint(f"e{n}", rank=1)
+            f.tell(f.rng.choice(f.names), drain)
+            self.assertLess(f.until_all_know(drain), DRAIN_WITHIN)
+
+    def test_costs_per_sidecar_stay_flat(self) -> None:
+        each: list[float] = []
+        for count in (15, 60):
+            f = met(count)
+            f.bytes = f.datagrams = 0
+            f.run(10.0)
+            each.append(f.datagrams / count / 10.0)
+        self.assertLess(each[1], 1.3 * each[0])
+
+    def test_two_sides_of_a_cut_agree_again(self) -> None:
+        f = met(16)
+        left, right = f.names[:8], f.names[8:]
+        f.cut = {(a, b) for a in left for b in right} | {(b, a) for a in left for b in right}
+        for n in range(5):
+            f.tell(left[0], endpoint(f"l{n}"))
+            f.tell(right[0], endpoint(f"r{n}"))
+        f.run(30.0)  # each side takes the other for dead by now
+        self.assertEqual(f.swarms[left[0]].standing(right[0]), Standing.DEAD)
+        f.cut.clear()
+        f.run(8.0)
+        for s in f.swarms.values():
+            self.assertEqual([s.standing(n) for n in f.names], [Standing.LIVE] * 16)
+            for n in range(5):
+                self.assertIsNotNone(s.records.get(2, f"l{n}"))
+                self.assertIsNotNone(s.records.get(2, f"r{n}"))
+
+    @params(
+        ("a late beat never undoes a drain", [(3, 1, 0), (2, 0, 0)], (3, 1, 0)),
+        ("a drain with the same number holds", [(3, 0, 0), (3, 1, 0)], (3, 1, 0)),
+        ("a departure is behind all beats", [(2**62, 2, 0), (9, 0, 0)], (2**62, 2, 0)),
+        ("another life is newer", [(9, 2, 0), (1, 0, 1)], (1, 0, 1)),
+        ("an earlier life is older", [(1, 0, 1), (9, 2, 0)], (1, 0, 1)),
+    )
+    def test_order_of_an_endpoints_news(self, name: str, told: list[tuple[int, int, int]],
+                                        want: tuple[int, int, int]) -> None:
+        records = Records()
+        for seq, rank, life in told:
+            records.put(0.0, endpoint(seq=seq, rank=rank, life=life))
+        r = records.held[(2, "e1")]
+        self.assertEqual((r.seq, r.rank, r.life), want, name)
+
+    def test_ended_lives_are_remembered_and_forgotten(self) -> None:
+        records = Records()
+        records.put(0.0, endpoint(seq=5, rank=2))
+        self.assertTrue(records.digest())
+        records.age(FADES + 0.1)
+        self.assertFalse(records.digest())
+        self.assertFalse(records.put(FADES + 0.2, endpoint(seq=4)))
+        records.age(FORGOTTEN + 0.1)
+        self.assertFalse(records.held)
+
+    def test_digests_follow_any_order_of_changes(self) -> None:
+        rng = random.Random(7)
+        told = [endpoint(f"e{rng.randrange(6)}", rng.randrange(9), rng.randrange(3)) for _ in range(200)]
+        a, b = Records(), Records()
+        for r in told:
+            a.put(0.0, r)
+        rng.shuffle(told)
+        for r in told + told:
+            b.put(0.0, r)
+        self.assertEqual(a.sums, b.sums)
+        self.assertFalse(a.differing(b.digest()))
+
+
+class EachOther(unittest.TestCase):
+    def test_a_death_is_known_to_all(self) -> None:
+        f = met(15)
+        del f.swarms["b9"]
+        f.run(8.0)
+        self.assertEqual({s.standing("b9") for s in f.swarms.values()}, {Standing.DEAD})
+
+    def test_nobody_living_is_removed_by_losses(self) -> None:
+        f = met(15, loss=0.05)
+        f.deaths.clear()
+        f.run(600.0)
+        self.assertEqual(f.deaths, [])
+
+    def test_one_way_cut_between_two_removes_nobody(self) -> None:
+        f = met(15)
+        f.cut = {("b4", "b9"), ("b9", "b5")}
+        f.deaths.clear()
+        f.run(60.0)
+        self.assertEqual(f.deaths, [])
+
+    def test_a_frozen_one_finds_out_before_it_judges(self) -> None:
+        f = met(15)
+        f.freeze("b4")
+        f.run(10.0)
+        f.deaths.clear()
+        f.thaw("b4")
+        f.run(6.0)
+        self.assertEqual([d for d in f.deaths if d[1] == "b4"], [])
+        self.assertEqual({s.standing("b4") for s in f.swarms.values()}, {Standing.LIVE})
+
+    def test_a_life_with_a_clock_set_back_is_believed(self) -> None:
+        f = met(9)
+        del f.swarms["b5"]
+        f.run(8.0)
+        f.add("b5", life=0)  # its clock is an hour behind that of its earlier life
+        f.run(6.0)
+        self.assertEqual({s.standing("b5") for s in f.swarms.values()}, {Standing.LIVE})
+
+    def test_half_killed_at_once(self) -> None:
+        f = met(20)
+        for n in f.names[10:]:
+            del f.swarms[n]
+        f.run(15.0)
+        for s in f.swarms.values():
+            self.assertEqual(set(s.peers()) | {s.me}, set(f.names[:10]))
+
+    def test_all_at_once_from_nothing(self) -> None:
+        f = Field(50)
+        f.run(4.0)
+        self.assertEqual({len(s.peers()) for s in f.swarms.values()}, {49})
+
+
+class Messages(unittest.TestCase):
+    def test_every_datagram_is_bounded(self) -> None:
+        f = met(50)
+        for n in range(100):
+            f.tell("b1", Record(kind=2, id=f"e{n}", seq=1, body=b"x" * 150))
+        f.run(3.0)
+        self.assertLess(f.longest, 2000)
+
+    @params(b"", b"\x0a\x00", Waggle(sender="b1", sums=[]).SerializeToString(),
+            Waggle(sender="x", life=1, ranges=[9999], news=[Record(kind=7, id="?")]).SerializeToString())
+    def test_foreign_messages_do_no_harm(self, data: bytes) -> None:
+        f = met(3)
+        s = f.swarms["b0"]
+        s.hear(f.now, Waggle.FromString(data), ("10.9.9.9", 9))
+        f.run(2.0)
+        self.assertEqual(len(s.peers()), 2)
+
+    def test_receipts_are_asked_for_until_they_come(self) -> None:
+        f = met(4)
+        f.cut = {("b0", "b1")}
+        number = f.swarms["b0"].tell_surely(f.now, endpoint(rank=1), ["b1", "b2"])
+        f.flush("b0")
+        f.run(0.5)
+        self.assertEqual(f.swarms["b0"].receipts[number].received, {"b2"})
+        f.cut.clear()
+        f.run(0.5)
+        self.assertEqual(f.swarms["b0"].receipts[number].received, {"b1", "b2"})
+
+    def test_refutes_what_is_said_of_it(self) -> None:
+        s = Swarm("me", 5, Bee(ip="10.0.0.1", port=7), [], 0.0, random.Random(1))
+        s.hear(0.1, Waggle(sender="b2", news=[Record(kind=BEE, id="me", life=5, seq=1, rank=2)]), ("10.0.0.2", 7))
+        mine = s.records.held[(BEE, "me")]
+        self.assertEqual((mine.life, mine.seq, mine.rank), (5, 2, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/zinclever/hive/comb/order.py
+++ b/zinclever/hive/comb/order.py
@@ -209,8 +209,9 @@
         if not self.seated():
             return
         seats = disks(self.view())
-        if self.me.disk not in seats:
-            return
+        live = {d for d, at in self.heard.items() if now - at < SILENT} | {self.me.disk}
+        if self.me.disk not in seats or not agrees(self.view(), live):
+            return  # one that hears nobody gains nothing by asking, and takes the duty from who could have it
         start = seats.index(self.acting) if self.acting in seats else -1
         turn = 0
         for n in range(1, len(seats) + 1):
@@ -416,7 +417,7 @@
     def on_propose(self, now: float, m: Comb) -> None:
         change = m.change
         known = self.vow.disk in ("", m.disk) or m.epoch > self.vow.epoch
-        if m.epoch < self.vow.epoch or not known or (change.number == 1 and self.settled.number):
+        if m.epoch < self.vow.epoch or not known or self.founded_otherwise(change):
             self.answer(m, Comb(kind=Kind.TAKEN, disk=self.me.disk, epoch=m.epoch, number=change.number, yes=False,
                                 round=self.vow.epoch))
             return
@@ -427,6 +428,13 @@
         seat = self.seat_of(m)
         self.save(change, [Say(seat, answer)] if seat is not None else [])
 
+    def founded_otherwise(self, change: Change) -> bool:
+        """Whether this would be a second first view."""
+        if change.number != 1:
+            return False
+        mine = self.accepted or self.settled
+        return mine.number > 1 or (mine.number == 1 and disks(mine.seats) != disks(change.seats))
+
     def on_taken(self, now: float, m: Comb) -> None:
         if not m.yes and m.round > self.epoch and self.phase is Phase.ACTS:
             self.become(Phase.FOLLOWS, now)
@@ -485,9 +493,7 @@
         """A save is done, or has failed: then nothing is promised."""
         act, after = self.saving.pop(token), self.after.pop(token)
         if good and act.accepted is not None:
-            old = self.accepted
-            if old is None or (act.accepted.number, act.accepted.epoch) >= (old.number, old.epoch):
-                self.accepted = act.accepted
+            self.accepted = act.accepted
         if good and self.phase is Phase.WAITING and self.seated():
             self.become(Phase.FOLLOWS, now)
         for say in after:
--- a/zinclever/hive/wax/generations.py
+++ b/zinclever/hive/wax/generations.py
@@ -104,7 +104,7 @@
     def load(self) -> dict[bytes, bytes] | None:
         """The records of the highest pair that is whole; None where there is none."""
         numbers = self.numbers()
-        self.number = numbers[0] if numbers else 0
+        self.number = max(self.number, numbers[0] if numbers else 0)
         for number in numbers:
             try:
                 records = self.files.read(self.path(number))
