--- a/zinclever/hive/cli.py
+++ b/zinclever/hive/cli.py
@@ -18,12 +18,18 @@
 from .errors import HiveError
 from .roles.boot import VARIABLE, Boot, read
 
+log = logging.getLogger(__name__)
+
+LOOK_EACH = 2.0  # s between two looks at the settings file
+
 
 class Role(Protocol):
     async def start(self) -> None: ...
 
     async def stop(self, grace: float) -> None: ...
 
+    def reload(self, boot: Boot) -> None: ...
+
 
 def forager() -> int:
     """Run the sidecar beside an endpoint."""
@@ -72,22 +78,45 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     role = make(boot)
-    loop.add_signal_handler(signal.SIGHUP, reload, role)
+    watch = Watch(role, boot)
+    loop.add_signal_handler(signal.SIGHUP, watch.look)
     await role.start()
+    watch.turn()
     await ended.wait()
+    watch.stop()
     await role.stop(boot.bounds.get("GraceS", 6.0))
 
 
-def reload(role: Role) -> None:
-    """The settings file may have changed: its seeds are taken anew; what a process is bound to stays to its end."""
-    try:
-        boot = read_boot()
-    except HiveError as wrong:
-        logging.getLogger(__name__).error("settings not taken", extra={"code": wrong.code, "text": wrong.text})
-        return
-    role_reload: Any = getattr(role, "reload", None)
-    if role_reload is not None:
-        role_reload(boot)
+class Watch:
+    """Looks whether the settings file has changed: on SIGHUP, and now and then, as it may change without one."""
+
+    def __init__(self, role: Role, boot: Boot) -> None:
+        self.role, self.boot = role, boot
+        self.timer: asyncio.TimerHandle | None = None
+        self.wrong = ""
+
+    def turn(self) -> None:
+        self.timer = asyncio.get_running_loop().call_later(LOOK_EACH, self.turn)
+        self.look()
+
+    def look(self) -> None:
+        """What can't be used changes nothing, and is told once."""
+        try:
+            boot = read_boot()
+        except HiveError as wrong:
+            if str(wrong) != self.wrong:
+                self.wrong = str(wrong)
+                log.error("settings not taken", extra={"code": wrong.code, "field": wrong.field, "text": wrong.text})
+            return
+        self.wrong = ""
+        if boot != self.boot:
+            self.boot = boot
+            log.info("settings taken anew", extra={"code": "BOOT_TAKEN", "seeds": [s[0] for s in boot.seeds]})
+            self.role.reload(boot)
+
+    def stop(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/zinclever/hive/forage/flights.py
+++ b/zinclever/hive/forage/flights.py
@@ -89,7 +89,7 @@
             told = i.RequestClass(
                 aim=1000.0 * min(route.aim, deadline), deadline=1000.0 * deadline,
                 repeat="idempotent" if route.safe else "at_most_once", late_worth=LATE_WORTH,
-                value=1.0 / (1.0 + route.priority), name=f"{'safe' if route.safe else 'unsafe'} {route.aim:g}",
+                name=f"{'safe' if route.safe else 'unsafe'} {route.aim:g}",
             )
             self.classes.append(told)
             extend(self.balancer, told)
--- a/zinclever/hive/roles/colony.py
+++ b/zinclever/hive/roles/colony.py
@@ -69,6 +69,10 @@
         for link in list(self.links):
             link.end()
 
+    def reload(self, boot: Boot) -> None:
+        """The settings file has changed: its seeds hold from now on."""
+        self.swarm.seeds = [(ip, boot.ports[0] + OFFSETS[COMB]) for ip, _ in boot.seeds]
+
     # --- links ---
 
     def on_frame(self, link: Link, frame: Frame) -> None:
--- a/zinclever/hive/roles/comb.py
+++ b/zinclever/hive/roles/comb.py
@@ -74,6 +74,10 @@
                 self.gate.connection, *self.boot.bind["ControlPlane"], backlog=BACKLOG)
         self.turn()
 
+    def reload(self, boot: Boot) -> None:
+        """Seeds of later days only say where others may be: the first view was founded by those of the start."""
+        self.colony.reload(boot)
+
     async def stop(self, grace: float) -> None:
         """What has been asked is answered, then others are told."""
         if self.gate is not None:
--- a/zinclever/hive/roles/forager.py
+++ b/zinclever/hive/roles/forager.py
@@ -108,6 +108,9 @@
                                                                "number": self.colony.pantry.number})
         return say(200 if ready else 503)
 
+    def reload(self, boot: Boot) -> None:
+        self.colony.reload(boot)
+
     async def stop(self, grace: float) -> None:
         """End in order: others stop coming first, what runs is finished."""
         began = self.loop.time()
