--- a/tests/run.py
+++ b/tests/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
 from pathlib import Path
@@ -11,7 +12,9 @@
 
 def main() -> int:
     mesh = [sys.executable, "-m", "nose2", "-s", "tests/hive", "-t", "tests"]
-    failed = [c for c in (mesh, [sys.executable, "-m", "pytest"]) if subprocess.run(c, cwd=ROOT).returncode]
+    as_written = {**os.environ, "ZINCLEVER_NATIVE": "text", "PYTHONPATH": os.fspath(ROOT)}  # as hive.py has it
+    runs = ((mesh, as_written), ([sys.executable, "-m", "pytest"], dict(os.environ)))
+    failed = [c for c, env in runs if subprocess.run(c, cwd=ROOT, env=env).returncode]
     for command in failed:
         print("failed:", *command, file=sys.stderr)
     return 1 if failed else 0
--- a/zinclever/hive/cli.py
+++ b/zinclever/hive/cli.py
@@ -11,7 +11,6 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-import defopt
 import uvloop
 from pythonjsonlogger.json import JsonFormatter
 
@@ -124,5 +123,11 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(name)s %(message)s"))
     logging.basicConfig(level=logging.INFO, handlers=[handler])
+    roles = {"forager": forager, "comb": comb}
+    told = sys.argv[1:] if arguments is None else arguments
+    if len(told) == 1 and told[0] in roles:
+        return roles[told[0]]()  # a start waits for no library that reads the rest of the command line
+    import defopt
+
     commands: list[Callable[[], int | Coroutine[Any, Any, int]]] = [forager, comb]
     return int(defopt.run(commands, argv=arguments) or 0)
--- a/zinclever/hive/forage/flights.py
+++ b/zinclever/hive/forage/flights.py
@@ -17,9 +17,10 @@
 from .hop import HopWire
 from .thrift import Thrift
 
-MOST_TRIES = 6  # attempts of a request that reach a keeper: those that reach an endpoint are the route's
+MOST_TRIES = 8  # attempts of a request that reach a keeper: those that reach an endpoint are the route's
 CONNECT_FOR = 400.0  # ms: of it a keeper that can't be reached is left alone a multiple
-CROSSING = 0.06  # of a request's worth that leaving the zone costs: enough that home is preferred where it is as good
+CROSSING = 0.3  # what leaving the zone weighs in the module: home is preferred unless it leaves far less of the aim
+COPY_DELAY = 0.55  # of the aim: above what is usual, and early enough that most copies still win in aim
 LATE_WORTH = 0.3  # of its worth that an answer between aim and deadline is taken to have
 
 
@@ -99,7 +100,9 @@
 def extend(balancer: Balancer, told: i.RequestClass) -> None:
     """One more class for a balancer that runs: what it has learnt stays."""
     if len(balancer.classes) < len(balancer.settings.classes):
-        balancer.classes.append(Klass(told))
+        made = Klass(told)
+        made.delay = COPY_DELAY * told.aim
+        balancer.classes.append(made)
         for tenant in balancer.tenants:
             tenant.queues.append(type(tenant.queues[0])())
 
--- a/zinclever/hive/forage/hop.py
+++ b/zinclever/hive/forage/hop.py
@@ -16,19 +16,22 @@
 
 WHOLE = 64 * 1024  # bytes of a body that go in one frame: a longer one leaves room for others between its pieces
 
-FULL_FOR = 0.03  # s for which an endpoint that had no room is taken to have none
+LOOKS = 4  # endpoints that are asked for room at once before one is asked to let it wait
+FULL_FOR = 0.05  # s for which an endpoint that had no room is taken to have none at the most
 
 
 class Order:
     """What goes to an endpoint for one request, and what is known of its attempts."""
 
     __slots__ = ("aim_at", "body", "framed", "head", "id", "inner", "live", "most", "offered", "priority", "ran",
-                 "safe", "service", "since", "tries", "why")
+                 "safe", "service", "since", "tries", "turned", "why")
 
     def __init__(self, service: str, id: str, head: bytes, body: bytes, framed: bool, safe: bool, priority: int,
                  aim_at: float, most: int, since: float, inner: bool) -> None:
         self.inner = inner
         self.tries = self.live = 0
+        self.turned: list[str] = []
+        """Endpoints that turned it away themselves: they are not asked again."""
         self.service, self.id, self.head, self.body, self.framed = service, id, head, body, framed
         self.safe, self.priority, self.aim_at, self.most, self.since = safe, priority, aim_at, most, since
         self.offered = 0
@@ -49,8 +52,8 @@
 class Hop:
     """One attempt: an :class:`~zinclever.core.protocol.Exchange`."""
 
-    __slots__ = ("body", "copy", "counted", "ended", "job", "line", "order", "out", "out_to", "sent", "stream",
-                 "wanted", "wire", "yielded")
+    __slots__ = ("body", "copy", "counted", "ended", "job", "line", "order", "out", "out_to", "patient", "sent",
+                 "stream", "wanted", "wire", "yielded")
 
     def __init__(self, wire: HopWire, order: Order, ended: Ended) -> None:
         self.wire, self.order = wire, order
@@ -58,7 +61,7 @@
         self.job: Job | None = None
         self.line: Line | None = None
         self.stream = 0
-        self.sent = self.out = self.copy = False
+        self.sent = self.out = self.copy = self.patient = False
         self.out_to = ""
         self.counted = False
         """It stands in the budget as a further try."""
@@ -126,7 +129,10 @@
         order.why = made.why or order.why
         verdict = Verdict(made.verdict) if made.verdict in (1, 2, 3, 4) else Verdict.MAYBE
         if verdict is Verdict.FULL and self.out_to and not order.inner and not self.copy:
-            self.wire.full_until[self.out_to] = self.wire.loop.time() + FULL_FOR
+            full_for = min(FULL_FOR, made.again_us / 1e6)
+            self.wire.full_until[(self.out_to, self.patient)] = self.wire.loop.time() + full_for
+        if verdict is Verdict.FULL and made.offered:
+            order.turned.append(self.out_to)
         if verdict.proves_not_run:
             ended("connect_failed" if made.why == "no link" else "full")
             return
@@ -145,8 +151,9 @@
         self.me, self.keeper, self.line, self.thrift = me, keeper, line, thrift
         self.loop = asyncio.get_running_loop()
         self.places: dict[str, Address] = {}
-        self.full_until: dict[str, float] = {}
-        """Endpoints that had no room a moment ago: nothing is carried there in vain."""
+        self.full_until: dict[tuple[str, bool], float] = {}
+        """Endpoints that had no room a moment ago, for who doesn't wait and for who does: nothing is carried there in
+        vain."""
         self.counts = {"sent": 0, "copies": 0, "short": 0}
 
     def configure(self, connect_timeout: float, idle_limit: float, connections: Connections) -> None:
@@ -160,7 +167,8 @@
 
     def forget(self, endpoint: str) -> None:
         self.places.pop(endpoint, None)
-        self.full_until.pop(endpoint, None)
+        for patient in (False, True):
+            self.full_until.pop((endpoint, patient), None)
 
     def listed(self) -> Sequence[str]:
         return list(self.places)
@@ -179,7 +187,10 @@
         if address is None:
             self.loop.call_soon(hop.end, Yield(verdict=Verdict.NEVER, why="no link"))
             return hop
-        if not order.inner and self.full_until.get(endpoint, 0.0) > now:
+        patient = order.inner or order.tries >= min(LOOKS, len(self.places))
+        known = not order.inner and self.full_until.get((endpoint, patient), 0.0) > now
+        if known or endpoint in order.turned:
+            order.tries += 1
             self.loop.call_soon(hop.end, Yield(verdict=Verdict.FULL, why="queue"))
             return hop
         if order.offered:
@@ -195,9 +206,9 @@
         load = Load(
             endpoint=endpoint, head=order.head, framed=order.framed, left_ms=max(1, int(1000 * left)),
             aim_ms=max(0, int(1000 * (order.aim_at - now))), priority=order.priority, safe=order.safe, id=order.id,
-            length=len(order.body), inner=order.inner, copy=order.live > 0,
+            length=len(order.body), inner=order.inner, copy=order.live > 0, patient=patient,
         )
-        hop.copy, hop.out_to = order.live > 0, endpoint
+        hop.copy, hop.out_to, hop.patient = order.live > 0, endpoint, patient
         order.live += 1
         order.tries += 1
         hop.out = True
--- a/zinclever/hive/forage/keeper.py
+++ b/zinclever/hive/forage/keeper.py
@@ -55,7 +55,8 @@
     __slots__ = ("answer", "body", "exchange", "load", "queue", "timer")
 
     def __init__(self, load: Load, body: bytes, answer: Answer, now: float, queue: Queue) -> None:
-        super().__init__(now, load.left_ms / 1000.0, load.aim_ms / 1000.0, load.priority, load.inner, load.copy)
+        super().__init__(now, load.left_ms / 1000.0, load.aim_ms / 1000.0, load.priority, load.inner, load.copy,
+                         load.patient)
         self.load, self.body, self.queue = load, body, queue
         self.answer: Answer | None = answer
         self.exchange: Visit | None = None
@@ -233,6 +234,8 @@
         if job.timer is not None:
             job.timer.cancel()
         self.jobs.discard(job)
+        if made.verdict == Verdict.FULL:
+            made.again_us = int(1e6 * self.queue.usual() / self.queue.slots)
         made.inflight, made.slots = self.queue.busy + len(self.queue.waiting), self.queue.slots
         answer, job.answer = job.answer, None
         if answer is not None:
--- a/zinclever/hive/forage/queue.py
+++ b/zinclever/hive/forage/queue.py
@@ -13,13 +13,14 @@
 class Waiting:
     """One that waits for its turn, or has it."""
 
-    __slots__ = ("aim", "begun", "copy", "inner", "left", "priority", "since")
+    __slots__ = ("aim", "begun", "copy", "inner", "left", "patient", "priority", "since")
 
     def __init__(self, since: float, left: float, aim: float, priority: int, inner: bool = False,
-                 copy: bool = False) -> None:
+                 copy: bool = False, patient: bool = True) -> None:
         self.since, self.left, self.aim, self.priority = since, left, aim, priority
         """Instants and spans in s: when it came, what was left of its deadline then, and of its aim."""
-        self.inner, self.copy = inner, copy
+        self.inner, self.copy, self.patient = inner, copy, patient
+        """``patient``: others had no room for it. One that may still find room elsewhere doesn't wait."""
         self.begun = 0.0
 
     def rank(self, now: float) -> tuple[bool, bool, int, float]:
@@ -59,7 +60,7 @@
             return True
         if w.inner:
             return wait <= MOST_INNER * w.left
-        return wait <= MOST_WAIT * (w.aim if w.aim > 0.0 else w.left)
+        return w.patient and wait <= MOST_WAIT * (w.aim if w.aim > 0.0 else w.left)
 
     def bound(self, w: Waiting) -> float:
         """s after which one that still waits is told that there is no room: inner calls may have come before it."""
