--- a/tests/hive/test_forage.py
+++ b/tests/colony/test_forage.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 
-from hive.cases import params
+from colony.cases import params
 from zinclever.hive.forage.queue import Queue, Waiting
 from zinclever.hive.forage.thrift import Thrift
 from zinclever.hive.verdict import Verdict
--- a/tests/hive/test_honey.py
+++ b/tests/colony/test_honey.py
@@ -7,7 +7,7 @@
 import unittest
 from typing import Any
 
-from hive.cases import params
+from colony.cases import params
 from zinclever.hive.errors import HiveError
 from zinclever.hive.gate.matchers import Tree
 from zinclever.hive.honey.pantry import Pantry
--- a/tests/hive/test_mesh.py
+++ b/tests/colony/test_mesh.py
@@ -5,8 +5,8 @@
 import unittest
 from typing import Any
 
-from hive.cases import params
-from hive.mesh import Mesh, Plan, away, config, good, run, until
+from colony.cases import params
+from colony.mesh import Mesh, Plan, away, config, good, run, until
 
 
 def other_id(headers: dict[str, str]) -> bytes:
--- a/tests/hive/test_order.py
+++ b/tests/colony/test_order.py
@@ -4,8 +4,8 @@
 
 import unittest
 
-from hive.cases import params
-from hive.order_world import World
+from colony.cases import params
+from colony.order_world import World
 from zinclever.hive.comb import order as orders
 from zinclever.hive.comb.order import Order, Phase
 from zinclever.hive.comb.views import majority, needed, next_view
--- a/tests/hive/test_program.py
+++ b/tests/colony/test_program.py
@@ -9,7 +9,7 @@
 import unittest
 from pathlib import Path
 
-from hive.cases import params
+from colony.cases import params
 
 ROOT = Path(__file__).parents[2]
 
--- a/tests/hive/test_swarm.py
+++ b/tests/colony/test_swarm.py
@@ -5,8 +5,8 @@
 import random
 import unittest
 
-from hive.cases import params
-from hive.swarm_world import Field, endpoint
+from colony.cases import params
+from colony.swarm_world import Field, endpoint
 from zinclever.hive.dance.hive_pb2 import Bee, Record, Waggle
 from zinclever.hive.swarm.records import BEE, FADES, FORGOTTEN, Records
 from zinclever.hive.swarm.swarm import Standing, Swarm
--- a/tests/hive/test_wax.py
+++ b/tests/colony/test_wax.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from hive.cases import params
+from colony.cases import params
 from zinclever.hive.wax.generations import Disk, Generations
 
 
