--- a/tests/colony/test_mesh.py
+++ b/tests/colony/test_mesh.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from pathlib import Path
 from typing import Any
 
 from colony.cases import params
 from colony.mesh import Mesh, Plan, away, config, good, run, until
+from zinclever.hive.comb.store import read_folder
+from zinclever.hive.errors import HiveError
+from zinclever.hive.scout import asking
 
 
 def other_id(headers: dict[str, str]) -> bytes:
@@ -233,5 +237,36 @@
         run(test)
 
 
+class Scouts(unittest.TestCase):
+    """What operators ask, over the command line's own calls."""
+
+    def test_who_view_endpoints_and_the_disk(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                core, loop = [f"{m.core}:{m.port + 2}"], m.comb.loop
+
+                async def ask(path: str) -> Any:
+                    status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", path)
+                    self.assertEqual(status, 200)
+                    return told
+
+                bees = (await ask("/v1/hive/who"))["Bees"]
+                self.assertEqual([b["Standing"] for b in bees], ["live"] * 3)
+                self.assertEqual([e["Phase"] for e in (await ask("/v1/hive/endpoints"))["Endpoints"]], ["ready"] * 2)
+                view = await ask("/v1/hive/view")
+                self.assertEqual((view["Phase"], view["Generation"], len(view["Seats"])), ("ACTS", 1, 1))
+                told = read_folder(Path(m.folder.name) / "disk")
+                self.assertEqual((told["Disk"], told["Generation"]), (view["Acting"], 1))
+
+        run(test)
+
+    def test_nobody_answers(self) -> None:
+        with self.assertRaises(HiveError) as caught:
+            asking.ask(["127.0.0.1:1", "127.0.0.2:1"], "GET", "/v1/hive/who")
+        self.assertEqual(caught.exception.code, "NOBODY_ANSWERS")
+        self.assertIn("127.0.0.2:1", str(caught.exception))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/zinclever/hive/cli.py
+++ b/zinclever/hive/cli.py
@@ -7,9 +7,9 @@
 import os
 import signal
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Protocol
 
 import uvloop
 from pythonjsonlogger.json import JsonFormatter
@@ -129,5 +129,13 @@
         return roles[told[0]]()  # a start waits for no library that reads the rest of the command line
     import defopt
 
-    commands: list[Callable[[], int | Coroutine[Any, Any, int]]] = [forager, comb]
-    return int(defopt.run(commands, argv=arguments) or 0)
+    from .scout.commands import COMMANDS
+
+    try:
+        return int(defopt.run([forager, comb, *COMMANDS], argv=arguments, cli_options="has_default") or 0)
+    except HiveError as wrong:
+        print(f"zinclever: {wrong}", file=sys.stderr)
+        return 1
+    except OSError as wrong:
+        print(f"zinclever: FILE: {wrong}", file=sys.stderr)
+        return 1
--- a/zinclever/hive/comb/order.py
+++ b/zinclever/hive/comb/order.py
@@ -13,11 +13,9 @@
 
 from __future__ import annotations
 
-import enum
-from collections import deque
-from typing import NamedTuple
-
 from ..dance.hive_pb2 import Change, Comb, Seat, Taken
+from .acts import Act, Kind, Phase, Proposal, Reply, Save, Say, Settle, Vow
+from .calls import REMEMBERED, Calls
 from .views import agrees, disks, next_view, settles
 
 HELLO_EACH = 0.1  # s between two words of a member to the others
@@ -28,75 +26,6 @@
 COURT_FOR = 0.5  # s for which a majority is asked before a higher epoch is tried
 AGAIN = 0.15  # s after which what is not answered is said again
 BEHIND = 0.3  # s for which a member lacks what is settled before it is sent whole
-CALL_FOR = 2.5  # s in which a call is settled, or has no clear answer
-REMEMBERED = 256  # changes by which a repeated call is known
-
-
-class Kind(enum.IntEnum):
-    """Messages between members."""
-
-    HELLO = 1
-    COURT = 2
-    PROMISE = 3
-    PROPOSE = 4
-    TAKEN = 5
-    CONFIRM = 6
-    CONFIRMED = 7
-
-
-class Phase(enum.Enum):
-    """What a member is doing."""
-
-    WAITING = "has no view: founds one, or waits to be let in"
-    FOLLOWS = "follows the one that acts"
-    COURTS = "asks the others whether it may act"
-    ACTS = "acts"
-
-
-class Vow(NamedTuple):
-    """The lowest epoch, and whose, that this member still takes part in."""
-
-    epoch: int
-    disk: str
-
-
-class Say(NamedTuple):
-    to: Seat
-    message: Comb
-
-
-class Save(NamedTuple):
-    """Make durable: the vow, and the change if there is one. Answered by :meth:`Order.saved`, in the order of saves."""
-
-    vow: Vow
-    accepted: Change | None
-    token: int
-
-
-class Settle(NamedTuple):
-    """A change is settled: the next one in the order."""
-
-    change: Change
-
-
-class Reply(NamedTuple):
-    """The answer to a call: an HTTP status, and a text."""
-
-    call: int
-    status: int
-    text: bytes
-
-
-Act = Say | Save | Settle | Reply
-
-
-class Proposal(NamedTuple):
-    call: int
-    at: float
-    base: int
-    generation: int
-    text: bytes
-    digest: bytes
 
 
 class Order:
@@ -128,10 +57,7 @@
         self.proposed: Change | None = None
         self.proposed_at = 0.0
         self.have: set[str] = set()  # disks that have what is proposed
-        self.calls: deque[Proposal] = deque()
-        self.current: Proposal | None = None
-        self.round = 0
-        self.reads: dict[int, tuple[int, float, set[str]]] = {}  # by round: call, when, who confirmed
+        self.calls = Calls(self.reply)
         if self.view():
             self.become(Phase.FOLLOWS, now)
 
@@ -140,7 +66,7 @@
     def become(self, phase: Phase, now: float) -> None:
         """The one place where the phase changes."""
         if phase is not Phase.ACTS and self.phase is Phase.ACTS:
-            self.drop_calls(503)
+            self.calls.drop()
         if phase is not Phase.COURTS:
             self.promises.clear()
         if phase in (Phase.FOLLOWS, Phase.WAITING):
@@ -188,16 +114,7 @@
                 self.ask_for_duty(now)
         else:
             self.lead(now)
-        for call in [c for c in self.calls if now - c.at > CALL_FOR]:
-            self.calls.remove(call)
-            self.out.append(Reply(call.call, 503, b"not settled in time"))
-        if self.current is not None and now - self.current.at > CALL_FOR:
-            self.out.append(Reply(self.current.call, 503, b"not settled in time: it may be yet"))
-            self.current = None
-        for round_, (call_id, at, _) in list(self.reads.items()):
-            if now - at > CALL_FOR / 2:
-                del self.reads[round_]
-                self.out.append(Reply(call_id, 503, b"no majority answers"))
+        self.calls.tick(now)
 
     def hello(self) -> Comb:
         acts = self.phase is Phase.ACTS
@@ -257,7 +174,7 @@
                 self.offer(self.proposed, self.have)
             return
         self.catch_up(now)
-        if self.calls:
+        if self.calls.waiting:
             self.start_call(now)
         if self.proposed is None:
             seats = next_view(self.settled, self.me.disk, self.waiting, self.heard, now)
@@ -452,9 +369,7 @@
         if all(settles(v, self.have, losses) for v in views):
             self.proposed = None
             self.deliver(now, change)
-            call, self.current = self.current, None
-            if call is not None:
-                self.out.append(Reply(call.call, 200, b""))
+            self.calls.settled()
             self.hello_at = -1e9  # the others hear of it at once
             if self.phase is Phase.ACTS:
                 self.tick(now)
@@ -517,72 +432,33 @@
         if self.phase is not Phase.ACTS:
             self.out.append(Reply(call, 503, b"does not act"))
             return
-        self.calls.append(Proposal(call, now, base, generation, text, digest))
+        self.calls.waiting.append(Proposal(call, now, base, generation, text, digest))
         if self.proposed is None:
             self.start_call(now)
 
     def start_call(self, now: float) -> None:
-        while self.calls and self.proposed is None:
-            call = self.calls.popleft()
-            status, text = self.judge(call)
-            if status:
-                self.out.append(Reply(call.call, status, text))
-                continue
+        call = self.calls.next(self.settled)
+        if call is not None:
             made = self.following(list(self.settled.seats))
             made.text, made.generation = call.text, call.generation
             made.taken.append(Taken(generation=call.generation, base=call.base, digest=call.digest))
             del made.taken[:-REMEMBERED]
-            self.current = call
             self.propose(now, made)
 
-    def judge(self, call: Proposal) -> tuple[int, bytes]:
-        """A status where a call is answered without a change; 0 where it is to be proposed."""
-        for taken in self.settled.taken:
-            if taken.digest == call.digest and taken.generation == call.generation and taken.base == call.base:
-                return 200, b""  # the same change again
-        if call.base != self.settled.generation:
-            return 412, b"another version is current: %d" % self.settled.generation
-        if call.generation <= self.settled.generation:
-            return 400, b"Generation is not above the current one, %d" % self.settled.generation
-        return 0, b""
-
     def get(self, now: float, call: int) -> None:
         """The newest configuration, once a majority confirms that no other acts."""
-        if self.phase is not Phase.ACTS or self.proposed_is_old():
+        # What was found at the take-over may have been acknowledged by another, and isn't settled here yet.
+        if self.phase is not Phase.ACTS or (self.proposed is not None and self.calls.current is None):
             self.out.append(Reply(call, 503, b"does not act"))
             return
-        self.round += 1
-        self.reads[self.round] = (call, now, set())
+        asked = self.calls.ask(now, call)
         for seat in self.others():
-            self.say(seat, Comb(kind=Kind.CONFIRM, disk=self.me.disk, epoch=self.epoch, round=self.round,
-                                seat=self.me))
-        self.on_confirmed(Comb(kind=Kind.CONFIRMED, disk=self.me.disk, round=self.round, epoch=self.epoch, yes=True))
-
-    def proposed_is_old(self) -> bool:
-        """What was found at the take-over is not settled yet: it may have been acknowledged by another."""
-        return self.proposed is not None and self.current is None
+            self.say(seat, Comb(kind=Kind.CONFIRM, disk=self.me.disk, epoch=self.epoch, round=asked, seat=self.me))
+        self.on_confirmed(Comb(kind=Kind.CONFIRMED, disk=self.me.disk, round=asked, epoch=self.epoch, yes=True))
 
     def on_confirmed(self, m: Comb) -> None:
-        if m.round not in self.reads or m.epoch != self.epoch or not m.yes:
-            return
-        call, _, who = self.reads[m.round]
-        who.add(m.disk)
-        if agrees(self.settled.seats, who):
-            del self.reads[m.round]
-            if self.settled.generation:
-                self.out.append(Reply(call, 200, self.settled.text))
-            else:
-                self.out.append(Reply(call, 404, b"there is none yet"))
-
-    def drop_calls(self, status: int) -> None:
-        """This member acts no more: calls have no clear answer here."""
-        for call in [*self.calls, *([self.current] if self.current is not None else [])]:
-            self.out.append(Reply(call.call, status, b"does not act any more: it may be settled"))
-        self.calls.clear()
-        self.current = None
-        for call_id, _, _ in self.reads.values():
-            self.out.append(Reply(call_id, status, b"does not act any more"))
-        self.reads.clear()
+        if m.epoch == self.epoch and m.yes:
+            self.calls.confirmed(m.round, m.disk, self.settled)
 
     # --- helpers ---
 
@@ -605,3 +481,6 @@
 
     def say(self, to: Seat, m: Comb) -> None:
         self.out.append(Say(to, m))
+
+    def reply(self, call: int, status: int, text: bytes) -> None:
+        self.out.append(Reply(call, status, text))
--- a/zinclever/hive/comb/store.py
+++ b/zinclever/hive/comb/store.py
@@ -8,10 +8,12 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import Any
 
 from ..dance.hive_pb2 import Change
+from ..errors import HiveError
 from ..wax.generations import Files, Generations
-from .order import Save, Vow
+from .acts import Save, Vow
 
 log = logging.getLogger(__name__)
 
@@ -71,3 +73,19 @@
 
     def close(self) -> None:
         self.thread.shutdown(wait=False, cancel_futures=True)
+
+
+def read_folder(folder: Path) -> dict[str, Any]:
+    """What a member has on its disk, read without changing anything. HiveError where there is no state."""
+    try:
+        told, kept = Generations(folder, "vow").load(), Generations(folder, "comb").load()
+    except OSError as wrong:
+        raise HiveError("DISK_UNREADABLE", str(wrong)) from None
+    if told is None:
+        raise HiveError("DISK_EMPTY", "holds no state of a member", str(folder))
+    change = Change.FromString(kept[b"change"]) if kept is not None else Change()
+    return {
+        "Disk": told[b"disk"].decode(), "Vow": told[b"vow"].decode(), "Epoch": change.epoch, "Number": change.number,
+        "Generation": change.generation, "Config": change.text.decode(),
+        "Seats": [{"Disk": s.disk, "Name": s.name, "Ip": s.ip} for s in change.seats],
+    }
--- a/zinclever/hive/roles/comb.py
+++ b/zinclever/hive/roles/comb.py
@@ -13,7 +13,8 @@
 
 from ...core.protocol import read_address
 from ...http1.heads import Answer
-from ..comb.order import Act, Order, Phase, Reply, Save, Say, Settle
+from ..comb.acts import Act, Phase, Reply, Save, Say, Settle
+from ..comb.order import Order
 from ..comb.store import Store
 from ..dance.hive_pb2 import Ask, Bee, Cell, Frame, Record, Seat, Told
 from ..dance.links import Link
@@ -22,6 +23,7 @@
 from ..gate.matchers import Tree
 from ..honey.recipe import read
 from ..swarm.records import BEE, ENDPOINT
+from ..swarm.swarm import Standing
 from .boot import Boot
 from .colony import COMB, FORAGER, Colony
 from .doorway import GONE, LAST, READY, read_beat
@@ -65,6 +67,9 @@
         tree: Tree[Handler] = Tree()
         tree.add("POST /v1/config/replace", self.on_replace)
         tree.add("GET /v1/config/read", self.on_read)
+        tree.add("GET /v1/hive/who", self.on_who)
+        tree.add("GET /v1/hive/endpoints", self.on_endpoints)
+        tree.add("GET /v1/hive/view", self.on_view)
         tree.add("POST /v1/endpoints/{id}/heartbeat", self.on_beat)
         tree.add("POST /v1/endpoints/{id}/departure", self.on_departure)
         self.gate = Gate(self.colony.descriptors, self.colony.host, tree)
@@ -237,6 +242,35 @@
             return Answer(200, b"Content-Type: application/json\r\n", text)
         return refuse(status, HiveError("CONFIG_UNKNOWN", text.decode("utf-8", "replace")))
 
+    # --- what operators look at: as this member knows it, nobody else is asked ---
+
+    def on_who(self, call: Call) -> Answer:
+        bees: list[dict[str, str | int]] = []
+        for record in self.colony.swarm.records.all(BEE):
+            bee = Bee.FromString(record.body)
+            bees.append({"Name": record.id, "Standing": Standing(min(record.rank, 3)).name.lower(), "Role": bee.role,
+                         "Zone": bee.zone, "Address": f"{bee.ip}:{bee.port}", "Life": record.life, "Seq": record.seq})
+        bees.sort(key=lambda b: str(b["Name"]))
+        return say(200, {"By": self.colony.name, "Bees": bees})
+
+    def on_endpoints(self, call: Call) -> Answer:
+        found: list[dict[str, str | int]] = []
+        for record in self.colony.swarm.records.all(ENDPOINT):
+            cell = Cell.FromString(record.body)
+            phase = ("ready", "draining", "gone")[min(record.rank, GONE)]
+            found.append({"Id": record.id, "Phase": phase, "Target": cell.service, "Keeper": cell.keeper,
+                          "Address": cell.address, "Capacity": cell.slots, "CallSeq": record.seq})
+        found.sort(key=lambda e: str(e["Id"]))
+        return say(200, {"By": self.colony.name, "Endpoints": found})
+
+    def on_view(self, call: Call) -> Answer:
+        order = self.order
+        return say(200, {
+            "By": self.colony.name, "Phase": order.phase.name, "Acting": order.acting, "Epoch": order.vow.epoch,
+            "Number": order.settled.number, "Generation": order.settled.generation, "DiskRefuses": self.store.full,
+            "Seats": [{"Disk": s.disk, "Name": s.name, "Ip": s.ip} for s in order.view()],
+        })
+
     # --- calls of endpoints ---
 
     async def on_beat(self, call: Call) -> Answer:
--- /dev/null
+++ b/zinclever/hive/scout/__init__.py
@@ -0,0 +1,1 @@
+"""What operators ask of a mesh from the command line."""
--- /dev/null
+++ b/zinclever/hive/scout/commands.py
@@ -0,0 +1,104 @@
+"""The operators' commands. Each takes the ``host:port`` at which members of the core take calls, and ends with 0, or
+with 1 where what was asked can't be had or was refused: one line says the code, the field and why."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from ..comb.store import read_folder
+from ..errors import HiveError
+from ..honey.recipe import read
+from .asking import CHANGE_WITHIN, ask, must
+from .tables import show
+
+
+def who(*core: str, json: bool = False) -> int:
+    """Who is in the mesh, and who is suspected or dead.
+
+    :param core: addresses of members of the core, as host:port
+    :param json: print JSON instead of a table
+    """
+    told = must(*ask(list(core), "GET", "/v1/hive/who")[:2])
+    rows = [(b["Name"], b["Standing"], b["Role"], b["Zone"], b["Address"]) for b in told["Bees"]]
+    show(told, json, ("name", "standing", "role", "zone", "address"), rows)
+    return 0
+
+
+def endpoints(*core: str, json: bool = False) -> int:
+    """The endpoints that are known, with the sidecar that keeps each.
+
+    :param core: addresses of members of the core, as host:port
+    :param json: print JSON instead of a table
+    """
+    told = must(*ask(list(core), "GET", "/v1/hive/endpoints")[:2])
+    rows = [(e["Id"], e["Phase"], e["Target"], e["Keeper"], e["Address"], e["Capacity"]) for e in told["Endpoints"]]
+    show(told, json, ("endpoint", "phase", "service", "keeper", "address", "slots"), rows)
+    return 0
+
+
+def view(*core: str, json: bool = False) -> int:
+    """Who has a voice in the core, who acts, and what is settled, as the member that answers sees it.
+
+    :param core: addresses of members of the core, as host:port
+    :param json: print JSON instead of a table
+    """
+    told = must(*ask(list(core), "GET", "/v1/hive/view")[:2])
+    rows = [(s["Name"], s["Ip"], s["Disk"], "acts" if s["Disk"] == told["Acting"] else "") for s in told["Seats"]]
+    show(told, json, ("name", "ip", "disk", "duty"), rows)
+    if not json:
+        print(f"number {told['Number']}, configuration {told['Generation']}, epoch {told['Epoch']}, "
+              f"{told['By']} {told['Phase'].lower()}")
+    return 0
+
+
+def config_get(*core: str) -> int:
+    """Print the configuration in force, confirmed by a majority of the core.
+
+    :param core: addresses of members of the core, as host:port
+    """
+    show(must(*ask(list(core), "GET", "/v1/config/read", within=CHANGE_WITHIN)[:2]), True)
+    return 0
+
+
+def config_check(file: Path) -> int:
+    """Say whether a file is a proper configuration, without asking anybody.
+
+    :param file: a configuration in JSON
+    """
+    recipe = read(file.read_bytes())
+    print(f"configuration {recipe.generation}: {len(recipe.routes)} routes, {len(recipe.services)} services")
+    return 0
+
+
+def config_put(file: Path, base: int, *core: str) -> int:
+    """Put a configuration in force on top of a version.
+
+    :param file: a configuration in JSON
+    :param base: the version that it builds on; 0 for the first
+    :param core: addresses of members of the core, as host:port
+    """
+    text = file.read_bytes()
+    read(text)
+    status, told, name = ask(list(core), "POST", "/v1/config/replace", text, {"X-Base-Version": str(base)},
+                             CHANGE_WITHIN)
+    if status == 503:
+        raise HiveError("CONFIG_UNCLEAR", f"{name} gave no clear answer: it may be in force; ask again, unchanged")
+    print(f"in force: {must(status, told)['Generation']}")
+    return 0
+
+
+def disk(folder: Path, *, json: bool = False) -> int:
+    """Read the state of a member of the core off its disk; nothing is changed.
+
+    :param folder: its StateDir
+    :param json: print JSON instead of a table
+    """
+    told = read_folder(folder)
+    rows = [(s["Name"], s["Ip"], s["Disk"], "this disk" if s["Disk"] == told["Disk"] else "") for s in told["Seats"]]
+    show(told, json, ("name", "ip", "disk", ""), rows)
+    if not json:
+        print(f"disk {told['Disk']}, vow {told['Vow']}, number {told['Number']}, configuration {told['Generation']}")
+    return 0
+
+
+COMMANDS = (who, endpoints, view, config_get, config_check, config_put, disk)
