An endpoint told to the core before its sidecar was known gets its keeper with the next beat

Cause: after a start of all, an endpoint whose own sidecar is not up yet beats to the core, which told of it without a keeper; later beats changed nothing, as phase and life were the same, and no way out could use it until it drained. Read from the code while looking for what keeps endpoints out after a closing fault; the test fails without the mend.

--- a/tests/colony/test_mesh.py
+++ b/tests/colony/test_mesh.py
@@ -164,6 +164,24 @@
 
         run(test)
 
+    def test_an_endpoint_that_came_up_before_its_sidecar_was_known(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                app = m.apps[0]
+                for f in m.foragers:  # as after a start of all: nobody knows the endpoint, nor who keeps it
+                    f.colony.swarm.records.held.pop((2, app.id))
+                body = app.beat()
+                record = m.comb.colony.swarm.records
+                record.held.pop((2, app.id))
+                m.comb.keeper_of = lambda address: ""  # type: ignore[method-assign]
+                await m.call(f"{m.core}:{m.port + 2}", "POST", f"/v1/endpoints/{app.id}/heartbeat", body)
+                self.assertEqual(await m.beat(0), 200)
+                await until(lambda: (r := record.get(2, app.id)) is not None
+                            and m.foragers[0].colony.name.encode() in r.body)
+
+        run(test)
+
     def test_a_departure_is_known_everywhere(self) -> None:
         async def test() -> None:
             async with Mesh(["one", "one", "two"]) as m:
--- a/zinclever/hive/roles/comb.py
+++ b/zinclever/hive/roles/comb.py
@@ -288,7 +288,7 @@
             cell.keeper = Cell.FromString(known.body).keeper
         cell.keeper = cell.keeper or self.keeper_of(cell.address)
         record.body = cell.SerializeToString()
-        if known is not None and known.rank == record.rank:
+        if known is not None and known.rank == record.rank and cell.keeper == Cell.FromString(known.body).keeper:
             return say(200, {})
         if record.rank == READY:
             self.colony.tell(record)
--- a/zinclever/hive/roles/forager.py
+++ b/zinclever/hive/roles/forager.py
@@ -148,7 +148,9 @@
         cell.keeper = self.colony.name
         record.body = cell.SerializeToString()
         self.beat_at = self.loop.time()
-        if known is None or known.rank != record.rank or known.life != record.life:
+        # Told to the core by an endpoint that came up first, it may have been told without a keeper.
+        elsewhere = known is not None and Cell.FromString(known.body).keeper != self.colony.name
+        if known is None or elsewhere or known.rank != record.rank or known.life != record.life:
             self.colony.tell(record)
         self.adopt(record.id, record.rank, cell)
         return say(200, {})
