--- a/tests/colony/test_order.py
+++ b/tests/colony/test_order.py
@@ -168,6 +168,19 @@
         w.run(3.0)
         self.assertEqual(len(w.newest().seats), 3)
 
+    def test_one_that_ends_in_order_is_followed_at_once(self) -> None:
+        for seed in range(6):
+            w = up(seed)
+            (ip,) = w.acting()
+            order = w.machines[ip].order
+            assert order is not None
+            order.resign(w.now)
+            w.carry_out(w.machines[ip])
+            w.run(0.05)
+            w.kill(ip)
+            w.run(0.2)
+            self.assertEqual(len(w.acting()), 1)
+
     def test_time_without_one_that_acts(self) -> None:
         for seed in range(10):
             w = up(seed)
--- a/zinclever/hive/comb/acts.py
+++ b/zinclever/hive/comb/acts.py
@@ -18,6 +18,7 @@
     TAKEN = 5
     CONFIRM = 6
     CONFIRMED = 7
+    RESIGN = 8
 
 
 class Phase(enum.Enum):
--- a/zinclever/hive/comb/order.py
+++ b/zinclever/hive/comb/order.py
@@ -191,6 +191,14 @@
                 self.say(seat, Comb(kind=Kind.HELLO, disk=self.me.disk, epoch=self.epoch, yes=True, seat=self.me,
                                     number=self.settled.number, settled=self.settled))
 
+    def resign(self, now: float) -> None:
+        """This member ends in order: what it acts for goes to the next one at once."""
+        if self.phase is Phase.ACTS:
+            for seat in self.others():
+                self.say(seat, Comb(kind=Kind.RESIGN, disk=self.me.disk, epoch=self.epoch, seat=self.me))
+            self.become(Phase.FOLLOWS, now)
+            self.heard_acting = now
+
     # --- the first view ---
 
     def found(self, now: float) -> None:
@@ -234,6 +242,9 @@
             self.answer(m, Comb(kind=Kind.CONFIRMED, disk=self.me.disk, epoch=m.epoch, round=m.round, yes=yes))
         elif m.kind == Kind.CONFIRMED:
             self.on_confirmed(m)
+        elif m.kind == Kind.RESIGN and m.disk == self.acting and m.epoch >= self.vow.epoch:
+            self.heard.pop(m.disk, None)  # it is passed over ...
+            self.heard_acting = now - SILENT  # ... and the next one needn't wait for its silence
 
     def on_hello(self, now: float, m: Comb) -> None:
         seat = m.seat
--- a/zinclever/hive/roles/comb.py
+++ b/zinclever/hive/roles/comb.py
@@ -91,6 +91,8 @@
         began = self.loop.time()
         while self.calls and self.loop.time() - began < grace / 2:
             await asyncio.sleep(0.02)
+        self.order.resign(self.loop.time())
+        self.work()
         if self.server is not None:
             self.server.close()
         if self.gate is not None:
