--- a/tests/colony/test_wax.py
+++ b/tests/colony/test_wax.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import tempfile
 import unittest
 from pathlib import Path
 
 from colony.cases import params
+from zinclever.hive.comb.acts import Save, Vow
+from zinclever.hive.comb.store import Store
+from zinclever.hive.dance.hive_pb2 import Change
 from zinclever.hive.wax.generations import Disk, Generations
 
 
@@ -155,6 +159,24 @@
         path.write_bytes(text)
         self.assertEqual((Generations(self.folder, "comb").load() or {})[b"n"][:1], b"1")
 
+    def test_a_disk_that_has_lost_its_change_is_nobody_that_is_known(self) -> None:
+        async def test() -> None:
+            store = Store(self.folder)
+            store.load()
+            for n in (1, 2):
+                store.write(Save(Vow(n, "d"), Change(number=n, epoch=n), n))
+            again = Store(self.folder)
+            again.load()
+            self.assertEqual((again.disk, again.vow.epoch), (store.disk, 2))
+            for path in self.folder.glob("comb-*.dat"):
+                path.write_bytes(path.read_bytes()[:40])
+            lost = Store(self.folder)
+            lost.load()
+            self.assertNotEqual(lost.disk, store.disk)
+            self.assertEqual((lost.vow.epoch, lost.change), (0, None))
+
+        asyncio.run(test())
+
     def test_nothing_there(self) -> None:
         self.assertIsNone(Generations(self.folder, "comb", Disk()).load())
 
--- a/zinclever/hive/comb/store.py
+++ b/zinclever/hive/comb/store.py
@@ -41,6 +41,10 @@
             self.vow = Vow(int(epoch), whose)
         if kept is not None and told is not None:
             self.change = Change.FromString(kept[b"change"])
+        elif kept is None and len(self.changes.numbers()) > 1:
+            # It had a change, and none of its pairs can be read: it must not vote as if it had never had one.
+            log.error("the disk has lost its change: it begins anew", extra={"code": "DISK_LOST", "disk": self.disk})
+            self.disk, self.vow = "", Vow(0, "")
         if not self.disk:
             self.disk = uuid.uuid4().hex
             self.write_vow(self.vow)
