--- a/zinclever/hive/forage/egress.py
+++ b/zinclever/hive/forage/egress.py
@@ -11,11 +11,12 @@
 from ...core.host import Host
 from ...core.protocol import Final, Incoming, Refused, Served
 from ...http1.bodies import Body
+from ...http1.clients import READ_FOR
 from ...http1.connection import OWN_HEADERS, Headers, end_to_end
 from ...http1.desk import Desk
 from ...http1.heads import NUMBER, Answer
 from ..honey.pantry import Pantry
-from ..honey.recipe import Route
+from ..honey.recipe import Recipe, Route
 from .flights import Flights
 from .hop import Order, Reply
 
@@ -24,6 +25,8 @@
 OURS = OWN_HEADERS | {b"x-deadline-ms", b"x-expected-endpoint", b"x-caller-service"}
 TO_CLIENTS = OWN_HEADERS
 FOREVER = 3600.0  # s: nobody waits for longer
+SLACK = 0.5  # s that a client may take beyond what the configuration says
+MOST_PART = 0.25  # of the memory that bodies may take: each is held once here and once on its way
 ADVICE = 0.08  # of the aim: the least after which a refused request is to come back
 
 
@@ -44,6 +47,13 @@
         self.counted = Replies()
         self.counts = {"served": 0, "refused": 0, "failed": 0, "unknown": 0, "left": 0, "untried": 0}
 
+    def configure(self, recipe: Recipe, memory: int) -> None:
+        """Hold clients to the configuration's limits, as far as ``memory`` bytes allow."""
+        self.read_for = max(READ_FOR, recipe.header_timeout + SLACK)
+        self.idle_for = max(SLACK, recipe.idle_timeout)
+        self.most_upload = int(min(recipe.max_body, MOST_PART * memory))
+        self.room.limit = int(max(self.most_upload, MOST_PART * memory))
+
     def read(self, method: str, target: str, headers: Headers, body: bytes | Body, waited: float) -> Incoming:
         assert isinstance(body, bytes)
         host, request_id, told = b"", b"", b""
--- a/zinclever/hive/roles/forager.py
+++ b/zinclever/hive/roles/forager.py
@@ -269,6 +269,7 @@
                    for r in self.colony.swarm.records.all(BEE))
 
     def on_recipe(self, recipe: Recipe) -> None:
+        self.egress.configure(recipe, self.boot.memory << 20)
         for service in recipe.services:
             self.flights.to(service)
             self.stale.add(service)
--- a/zinclever/http1/desk.py
+++ b/zinclever/http1/desk.py
@@ -26,6 +26,8 @@
         self.room = Room(ROOM_UNTOLD)
         """For bodies that are too large to be held freely."""
         self.draining = False
+        self.most_upload = 0
+        """Bytes of a request's body, where somebody says so: else the server's own bound."""
         self.whole_only = False
         """Requests are handed on once their bodies are whole, however large they are."""
 
--- a/zinclever/http1/server.py
+++ b/zinclever/http1/server.py
@@ -21,8 +21,8 @@
 
 log = logging.getLogger(__name__)
 
-VERSIONS = ("1.1", "1.0")
 MOST_UPLOAD = 40 << 20  # bytes of a request's body: the longest have 32 MB
+VERSIONS = ("1.1", "1.0")
 MOST_CHUNKED = 4 * MOST_BODY  # raw bytes of a body's chunks beyond ...
 CHUNKED = 8  # ... this multiple of what they hold: chunks of one byte have six
 PIPELINED = 8  # whole requests that may wait behind the one that is out; ordinary clients send one at a time
@@ -155,7 +155,7 @@
                 hosts += 1
         if hosts > 1 or (not hosts and version == "1.1"):
             raise Rejected(400)  # RFC 9112, 3.2
-        if length > min(MOST_UPLOAD, self.front.room.limit):
+        if length > min(self.front.most_upload or MOST_UPLOAD, self.front.room.limit):
             raise Rejected(413)
         self.length = length or None
         if expects and not self.owing():
@@ -169,7 +169,7 @@
             self.upload.add(body)
         elif not self.ending:
             self.body.append(body)
-        if self.size > MOST_UPLOAD:
+        if self.size > (self.front.most_upload or MOST_UPLOAD):
             raise Rejected(413)
         lacks = self.size > max(HELD_FREELY, self.room) and not self.ending and self not in self.front.room.waiting
         if lacks and self.take_room(max(STEP, self.size - self.room)):
@@ -252,7 +252,7 @@
 
     def patience(self) -> float:
         """s for which what is coming in may take."""
-        return READ_FOR + (self.size / SLOWEST if self.in_body else 0.0)
+        return (self.front.read_for or READ_FOR) + (self.size / SLOWEST if self.in_body else 0.0)
 
     def on_message_complete(self) -> None:
         if self.upload is not None:
