--- a/tests/colony/test_mesh.py
+++ b/tests/colony/test_mesh.py
@@ -279,6 +279,23 @@
 
         run(test)
 
+    def test_why_a_request_was_refused(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"], {0: away}) as m:
+                await m.serve()
+                self.assertEqual((await m.ask("/one/unsafe/x", "POST", 1, X_Attempt_Id="r-asked"))[0], 503)
+                core, loop = [f"{m.core}:{m.port + 2}"], m.comb.loop
+                status, told, _ = await loop.run_in_executor(
+                    None, asking.ask, core, "GET", "/v1/hive/requests/r-asked")
+                self.assertEqual(status, 200)
+                (found,) = told["Requests"]
+                self.assertEqual((found["Status"], found["Target"]), (503, "one"))
+                self.assertIn(f"{m.apps[0].id}: turned away", found["Tries"])
+                status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", "/v1/hive/requests/r-0")
+                self.assertEqual((status, told["Error"]["Code"]), (404, "REQUEST_UNKNOWN"))
+
+        run(test)
+
     def test_nobody_answers(self) -> None:
         with self.assertRaises(HiveError) as caught:
             asking.ask(["127.0.0.1:1", "127.0.0.2:1"], "GET", "/v1/hive/who")
--- a/zinclever/hive/forage/egress.py
+++ b/zinclever/hive/forage/egress.py
@@ -19,6 +19,7 @@
 from ..honey.recipe import Recipe, Route
 from .flights import Flights
 from .hop import Order, Reply
+from .remembered import Remembered
 
 log = logging.getLogger(__name__)
 
@@ -45,6 +46,7 @@
         self.open: dict[str, Order] = {}
         self.turns: dict[str, dict[str, float]] = {}
         self.counted = Replies()
+        self.remembered = Remembered()
         self.counts = {"served": 0, "refused": 0, "failed": 0, "unknown": 0, "left": 0, "untried": 0}
 
     def configure(self, recipe: Recipe, memory: int) -> None:
@@ -123,7 +125,13 @@
         flight.ledger.take(told, final)
 
     def word(self, order: Order, made: Final) -> Answer:
-        """The final answer as the client gets it."""
+        """The final answer as the client gets it; one that isn't what was wanted is remembered."""
+        answer = self.settle(order, made)
+        if answer.status >= 500:
+            self.remembered.add(order.id, answer.status, order.service, self.loop.time() - order.since, order.notes)
+        return answer
+
+    def settle(self, order: Order, made: Final) -> Answer:
         if isinstance(made, Served):
             reply: Reply = made.reply
             self.counts["served"] += 1
--- a/zinclever/hive/forage/hop.py
+++ b/zinclever/hive/forage/hop.py
@@ -16,6 +16,7 @@
 
 WHOLE = 64 * 1024  # bytes of a body that go in one frame: a longer one leaves room for others between its pieces
 
+MOST_NOTES = 12  # tries of a request that are remembered
 LOOKS = 4  # endpoints that are asked for room at once before one is asked to let it wait
 FULL_FOR = 0.05  # s for which an endpoint that had no room is taken to have none at the most
 
@@ -23,8 +24,8 @@
 class Order:
     """What goes to an endpoint for one request, and what is known of its attempts."""
 
-    __slots__ = ("aim_at", "body", "framed", "head", "id", "inner", "live", "most", "offered", "priority", "ran",
-                 "safe", "service", "since", "tries", "turned", "why")
+    __slots__ = ("aim_at", "body", "framed", "head", "id", "inner", "live", "most", "notes", "offered", "priority",
+                 "ran", "safe", "service", "since", "tries", "turned")
 
     def __init__(self, service: str, id: str, head: bytes, body: bytes, framed: bool, safe: bool, priority: int,
                  aim_at: float, most: int, since: float, inner: bool) -> None:
@@ -38,7 +39,12 @@
         """Attempts that an endpoint had, or may have had."""
         self.ran = False
         """One of them may have run."""
-        self.why = ""
+        self.notes: list[str] = []
+        """What came of each try."""
+
+    def note(self, text: str) -> None:
+        if len(self.notes) < MOST_NOTES:
+            self.notes.append(text)
 
 
 class Reply(NamedTuple):
@@ -120,15 +126,16 @@
         ended, self.ended = self.ended, None
         if self.line is not None:
             self.line.over(self.stream)
+        carried = self.out
         self.over()
         if ended is None:
             return
         order = self.order
         if not made.offered:
             self.wire.take_back(self)
-        order.why = made.why or order.why
+        order.note(f"{self.out_to}: {made.why or made.status}")
         verdict = Verdict(made.verdict) if made.verdict in (1, 2, 3, 4) else Verdict.MAYBE
-        if verdict is Verdict.FULL and self.out_to and not order.inner and not self.copy:
+        if verdict is Verdict.FULL and carried and not order.inner and not self.copy:
             full_for = min(FULL_FOR, made.again_us / 1e6)
             self.wire.full_until[(self.out_to, self.patient)] = self.wire.loop.time() + full_for
         if verdict is Verdict.FULL and made.offered:
@@ -182,6 +189,7 @@
     def start(self, endpoint: str, payload: Order, left: float, ended: Ended, unsafe: bool) -> Hop:
         order = payload
         hop = Hop(self, order, ended)
+        hop.out_to = endpoint
         now = self.loop.time()
         address = self.places.get(endpoint)
         if address is None:
@@ -191,11 +199,13 @@
         known = not order.inner and self.full_until.get((endpoint, patient), 0.0) > now
         if known or endpoint in order.turned:
             order.tries += 1
-            self.loop.call_soon(hop.end, Yield(verdict=Verdict.FULL, why="queue"))
+            self.loop.call_soon(hop.end, Yield(verdict=Verdict.FULL, why="full a moment ago"))
             return hop
         if order.offered:
             if order.offered >= order.most or not self.thrift.may(now):
                 self.counts["short"] += 1
+                order.note(f"{endpoint}: not sent, as "
+                           + ("the route allows no more" if order.offered >= order.most else "the budget is used up"))
                 self.loop.call_soon(self.give_up, hop)
                 return hop
             self.thrift.spend(now)
@@ -208,7 +218,7 @@
             aim_ms=max(0, int(1000 * (order.aim_at - now))), priority=order.priority, safe=order.safe, id=order.id,
             length=len(order.body), inner=order.inner, copy=order.live > 0, patient=patient,
         )
-        hop.copy, hop.out_to, hop.patient = order.live > 0, endpoint, patient
+        hop.copy, hop.patient = order.live > 0, patient
         order.live += 1
         order.tries += 1
         hop.out = True
--- a/zinclever/hive/roles/comb.py
+++ b/zinclever/hive/roles/comb.py
@@ -32,6 +32,7 @@
 
 TURN = 0.05  # s between two turns of the order
 HANDED_ON = 3.0  # s for which a call that was handed on to the one that acts is waited for
+EXPLAINED = 0.7  # s in which a sidecar says whether it remembers a request
 FINDS = 1.5  # s for which a call waits for one that acts
 KNOWN_FOR = 0.8  # s in which news that was acknowledged has to be known to others
 LARGE = 64 * 1024  # bytes of a configuration from which on it is checked in a thread
@@ -71,6 +72,7 @@
         tree.add("GET /v1/hive/who", self.on_who)
         tree.add("GET /v1/hive/endpoints", self.on_endpoints)
         tree.add("GET /v1/hive/view", self.on_view)
+        tree.add("GET /v1/hive/requests/{id}", self.on_explain)
         tree.add("POST /v1/endpoints/{id}/heartbeat", self.on_beat)
         tree.add("POST /v1/endpoints/{id}/departure", self.on_departure)
         self.gate = Gate(self.colony.descriptors, self.colony.host, tree)
@@ -189,7 +191,7 @@
         digest = hashlib.blake2b(ask.text, digest_size=16).digest()
         return await self.ask(lambda n: self.order.put(now, n, ask.base, recipe.generation, ask.text, digest))
 
-    async def hand_on(self, seat: Seat, ask: Ask) -> tuple[int, bytes]:
+    async def hand_on(self, seat: Seat, ask: Ask, within: float = HANDED_ON) -> tuple[int, bytes]:
         line = self.colony.line((seat.ip, seat.port))
         told: asyncio.Future[tuple[int, bytes]] = self.loop.create_future()
 
@@ -199,7 +201,7 @@
 
         stream = line.call(Frame(ask=ask), answer)
         try:
-            async with asyncio.timeout(HANDED_ON):
+            async with asyncio.timeout(within):
                 return await told
         except TimeoutError:
             return 503, b"the one that acts doesn't answer"
@@ -276,6 +278,19 @@
             "Seats": [{"Disk": s.disk, "Name": s.name, "Ip": s.ip} for s in order.view()],
         })
 
+    async def on_explain(self, call: Call) -> Answer:
+        """Why a request was not served: asked of all sidecars, as any of them may have had it."""
+        swarm = self.colony.swarm
+        seats = [Seat(ip=b.ip, port=b.port) for p in swarm.peers() if (b := swarm.bee(p)) and b.role == FORAGER]
+        ask = Ask(kind="explain", text=call.captured[0].encode())
+        answers = await asyncio.gather(*(self.hand_on(s, ask, EXPLAINED) for s in seats))
+        found = [orjson.loads(text) for status, text in answers if status == 200]
+        silent = sum(status == 503 for status, _ in answers)
+        if not found:
+            wrong = HiveError("REQUEST_UNKNOWN", f"none of {len(seats)} sidecars remembers it; {silent} didn't answer")
+            return refuse(404, wrong)
+        return say(200, {"Requests": found, "Silent": silent})
+
     # --- calls of endpoints ---
 
     async def on_beat(self, call: Call) -> Answer:
--- a/zinclever/hive/roles/forager.py
+++ b/zinclever/hive/roles/forager.py
@@ -6,11 +6,13 @@
 import logging
 from functools import partial
 
+import orjson
+
 from ... import interface as i
 from ...core.protocol import Entry
 from ...http1.desk import Desk
 from ...http1.heads import Answer
-from ..dance.hive_pb2 import Bee, Cell, Frame, Load, Piece, Record, Yield
+from ..dance.hive_pb2 import Bee, Cell, Frame, Load, Piece, Record, Told, Yield
 from ..dance.links import Link
 from ..forage.egress import Egress
 from ..forage.flights import Flight, Flights
@@ -70,7 +72,7 @@
         self.told_ready = False
         self.stale: set[str] = set()
         self.refreshing = False
-        self.colony.frames.update(load=self.on_load, piece=self.on_piece, cancel=self.on_cancel)
+        self.colony.frames.update(ask=self.on_ask, load=self.on_load, piece=self.on_piece, cancel=self.on_cancel)
         self.colony.link_lost.append(self.on_link_lost)
         self.colony.news.append(self.on_news)
         self.colony.pantry.listeners.append(self.on_recipe)
@@ -218,6 +220,12 @@
         if incoming.wanted <= 0:
             self.hand_in(frame.stream, incoming)
 
+    def on_ask(self, link: Link, frame: Frame) -> None:
+        """A member of the core asks for an operator."""
+        found = self.egress.remembered.find(frame.ask.text.decode("utf-8", "replace"))
+        text = orjson.dumps({"By": self.colony.name, **found}) if found is not None else b""
+        link.send(Frame(stream=frame.stream, told=Told(status=200 if found is not None else 404, text=text)))
+
     def on_piece(self, link: Link, frame: Frame) -> None:
         incoming = self.incoming.get((link, frame.stream))
         if incoming is not None and incoming.wanted > 0:
--- a/zinclever/hive/scout/commands.py
+++ b/zinclever/hive/scout/commands.py
@@ -87,6 +87,19 @@
     return 0
 
 
+def explain(request_id: str, *core: str, json: bool = False) -> int:
+    """Why a request was refused or failed, as the sidecar remembers that had it.
+
+    :param request_id: its X-Attempt-Id
+    :param core: addresses of members of the core, as host:port
+    :param json: print JSON instead of a table
+    """
+    told = must(*ask(list(core), "GET", f"/v1/hive/requests/{request_id}")[:2])
+    rows = [(r["By"], r["Status"], r["Target"], r["Ms"], t) for r in told["Requests"] for t in r["Tries"] or ["none"]]
+    show(told, json, ("sidecar", "status", "service", "ms", "try"), rows)
+    return 0
+
+
 def disk(folder: Path, *, json: bool = False) -> int:
     """Read the state of a member of the core off its disk; nothing is changed.
 
@@ -101,4 +114,4 @@
     return 0
 
 
-COMMANDS = (who, endpoints, view, config_get, config_check, config_put, disk)
+COMMANDS = (who, endpoints, view, config_get, config_check, config_put, explain, disk)
