--- a/tests/colony/mesh.py
+++ b/tests/colony/mesh.py
@@ -57,6 +57,8 @@
         self.id = f"i-{address}"
         self.seen: list[tuple[str, dict[str, str], bytes]] = []
         self.seq = 0
+        self.hold: asyncio.Event | None = None
+        """Answers wait for it."""
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -69,6 +71,8 @@
             while True:
                 start, headers, body = await read_message(reader)
                 self.seen.append((start, headers, body))
+                if self.hold is not None:
+                    await self.hold.wait()
                 answer = self.plan(headers)
                 if answer is None:
                     break
--- a/tests/colony/test_mesh.py
+++ b/tests/colony/test_mesh.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+import os
 import unittest
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from colony.cases import params
 from colony.mesh import Mesh, Plan, away, config, good, run, until
+from zinclever.hive import cli
 from zinclever.hive.comb.store import read_folder
+from zinclever.hive.dance.hive_pb2 import Load, Yield
 from zinclever.hive.errors import HiveError
+from zinclever.hive.roles import forager
 from zinclever.hive.scout import asking
+from zinclever.hive.verdict import Verdict
 
 
 def other_id(headers: dict[str, str]) -> bytes:
@@ -164,6 +172,60 @@
 
         run(test)
 
+    def test_a_sidecar_told_to_end_finishes_what_runs(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                app, ending = m.apps[0], m.foragers[1]
+                app.hold = asyncio.Event()
+                asked = asyncio.ensure_future(m.ask("/one/unsafe/x", "POST", 1, b"body"))
+                await until(lambda: app.seen)
+                with mock.patch.object(forager, "SERVES_ON", 0.05):
+                    stopped = asyncio.ensure_future(ending.stop(6.0))
+                    await until(lambda: ending.ending)
+                    ready = await m.call(f"{m.ips[1]}:{m.port + 3}", "GET", "/v1/ready")
+                    self.assertEqual(ready[0], 503)  # before anything else changes
+                    self.assertFalse(asked.done() or stopped.done())
+                    app.hold.set()
+                    self.assertEqual((await asked)[0], 200)
+                    await stopped
+
+        run(test)
+
+    def test_a_request_for_another_life_goes_nowhere(self) -> None:
+        """Its address may be another service's by now."""
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                m.apps[0].id = "i-next"  # another life at the same address
+                self.assertEqual(await m.beat(0), 200)
+                told: list[Yield] = []
+                load = Load(endpoint=f"i-{m.apps[0].address}", head=b"GET / HTTP/1.1\r\n", id="r", left_ms=1000)
+                m.foragers[0].keeper.offer(load, b"", told.append)
+                self.assertEqual([y.verdict for y in told], [Verdict.NEVER])
+                self.assertEqual(m.apps[0].seen, [])
+
+        run(test)
+
+    def test_settings_that_change(self) -> None:
+        """On SIGHUP, and without one; what can't be used changes nothing."""
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                role, path = m.foragers[0], Path(m.folder.name) / "boot.json"
+                watch = cli.Watch(role, role.boot)
+                told = {"NodeName": "n", "Role": "r", "Ip": m.ips[0], "Zone": "z", "Serves": [], "Bind": {},
+                        "EphemeralPorts": [m.port, m.port + 1], "SeedNodes": ["127.0.0.9:5"]}
+                before = list(role.colony.swarm.seeds)
+                with mock.patch.dict(os.environ, {"ZINCLEVER_BOOT": str(path)}):
+                    path.write_text("{")
+                    watch.look()
+                    self.assertEqual(role.colony.swarm.seeds, before)
+                    path.write_text(json.dumps(told))
+                    watch.look()
+                    self.assertEqual(role.colony.swarm.seeds, [("127.0.0.9", m.port + 1)])
+
+        run(test)
+
     def test_an_endpoint_that_came_up_before_its_sidecar_was_known(self) -> None:
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
