After a standstill the module is the mesh's still; records that can't be read are dropped

Found by reading the change once more. After standing still for a second a ledger begins a balancer anew: in the mesh it got back the windows of a sidecar that is alone, and classes of later configurations were given to the old one only. A foreign record with a body that is none was kept, and each look at it raised; senders that nobody knows were remembered without bound. Each has a test that fails without the mend (tried). Dead: saying something else of a process.

--- a/tests/colony/mesh.py
+++ b/tests/colony/mesh.py
@@ -146,6 +146,7 @@
         if self.comb.server is not None:
             self.comb.server.close()
         self.comb.store.close()
+        self.comb.store.thread.shutdown(wait=True)  # a save may be under way in the folder
         self.folder.cleanup()
 
     # --- callers ---
--- a/tests/colony/swarm_world.py
+++ b/tests/colony/swarm_world.py
@@ -120,4 +120,4 @@
 
 
 def endpoint(name: str = "e1", seq: int = 1, rank: int = 0, life: int = 0) -> Record:
-    return Record(kind=ENDPOINT, id=name, life=life, seq=seq, rank=rank, body=b"cell")
+    return Record(kind=ENDPOINT, id=name, life=life, seq=seq, rank=rank, body=b"")
--- a/tests/colony/test_mesh.py
+++ b/tests/colony/test_mesh.py
@@ -16,6 +16,7 @@
 from zinclever.hive.comb.store import read_folder
 from zinclever.hive.dance.hive_pb2 import Load, Yield
 from zinclever.hive.errors import HiveError
+from zinclever.hive.forage.admission import Open
 from zinclever.hive.roles import forager
 from zinclever.hive.scout import asking
 from zinclever.hive.verdict import Verdict
@@ -226,6 +227,21 @@
 
         run(test)
 
+    def test_after_a_standstill_the_module_is_the_meshs_still(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                ledger = m.foragers[0].flights.to("one").ledger
+                ledger.settle(True)  # what it does after standing still for a second
+                self.assertIsInstance(ledger.balancer.admission, Open)
+                told = config("one", generation=2)
+                told["Routes"]["one-safe"]["DeadlineS"] = 2.5  # a class that there was not
+                self.assertEqual((await m.put(told, 1))[0], 200)
+                await until(lambda: m.foragers[0].colony.pantry.generation == 2)
+                self.assertEqual((await m.ask("/one/safe/x"))[0], 200)
+
+        run(test)
+
     def test_an_endpoint_that_came_up_before_its_sidecar_was_known(self) -> None:
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
--- a/tests/colony/test_swarm.py
+++ b/tests/colony/test_swarm.py
@@ -7,7 +7,7 @@
 
 from colony.cases import params
 from colony.swarm_world import Field, endpoint
-from zinclever.hive.dance.hive_pb2 import Bee, Record, Waggle
+from zinclever.hive.dance.hive_pb2 import Bee, Cell, Record, Waggle
 from zinclever.hive.swarm.records import BEE, FADES, FORGOTTEN, Records
 from zinclever.hive.swarm.swarm import Standing, Swarm
 
@@ -150,18 +150,20 @@
     def test_every_datagram_is_bounded(self) -> None:
         f = met(50)
         for n in range(100):
-            f.tell("b1", Record(kind=2, id=f"e{n}", seq=1, body=b"x" * 150))
+            f.tell("b1", Record(kind=2, id=f"e{n}", seq=1, body=Cell(service="x" * 150).SerializeToString()))
         f.run(3.0)
         self.assertLess(f.longest, 2000)
 
     @params(b"", b"\x0a\x00", Waggle(sender="b1", sums=[]).SerializeToString(),
-            Waggle(sender="x", life=1, ranges=[9999], news=[Record(kind=7, id="?")]).SerializeToString())
+            Waggle(sender="x", life=1, ranges=[9999], news=[Record(kind=7, id="?")]).SerializeToString(),
+            Waggle(sender="x", news=[Record(kind=BEE, id="b9", life=9, body=b"\xff\xff")]).SerializeToString())
     def test_foreign_messages_do_no_harm(self, data: bytes) -> None:
         f = met(3)
         s = f.swarms["b0"]
         s.hear(f.now, Waggle.FromString(data), ("10.9.9.9", 9))
         f.run(2.0)
         self.assertEqual(len(s.peers()), 2)
+        self.assertNotIn("x", s.heard)
 
     def test_receipts_are_asked_for_until_they_come(self) -> None:
         f = met(4)
--- a/zinclever/hive/forage/flights.py
+++ b/zinclever/hive/forage/flights.py
@@ -53,6 +53,14 @@
             self.on_list("whole", entries)
 
 
+class Way(Ledger):
+    """A ledger whose balancers all leave admission to the keepers, also one that begins anew after a standstill."""
+
+    def adopt(self, balancer: Balancer) -> None:
+        prepare(balancer)
+        super().adopt(balancer)
+
+
 class Flight:
     """The way to one service."""
 
@@ -68,9 +76,9 @@
             prices=i.Prices(cross_zone=CROSSING),
         )
         self.known: Known | None = None
-        self.balancer = Balancer(settings, host.random().getrandbits(64))
-        open_up(self.balancer)
-        self.ledger = Ledger(self.balancer, wire, self.make_source, descriptors, host)
+        balancer = Balancer(settings, host.random().getrandbits(64))
+        prepare(balancer)
+        self.ledger = Way(balancer, wire, self.make_source, descriptors, host)
 
     def make_source(self, on_list: OnList) -> Known:
         self.known = Known(on_list)
@@ -93,16 +101,22 @@
                 name=f"{'safe' if route.safe else 'unsafe'} {route.aim:g}",
             )
             self.classes.append(told)
-            extend(self.balancer, told)
+            extend(self.ledger.balancer, told)
         return found
 
 
+def prepare(balancer: Balancer) -> None:
+    """Make a balancer that has served nothing yet one of the mesh."""
+    open_up(balancer)
+    for klass in balancer.classes:
+        klass.delay = COPY_DELAY * klass.told.aim
+
+
 def extend(balancer: Balancer, told: i.RequestClass) -> None:
     """One more class for a balancer that runs: what it has learnt stays."""
     if len(balancer.classes) < len(balancer.settings.classes):
-        made = Klass(told)
-        made.delay = COPY_DELAY * told.aim
-        balancer.classes.append(made)
+        balancer.classes.append(Klass(told))
+        balancer.classes[-1].delay = COPY_DELAY * told.aim
         for tenant in balancer.tenants:
             tenant.queues.append(type(tenant.queues[0])())
 
--- a/zinclever/hive/roles/colony.py
+++ b/zinclever/hive/roles/colony.py
@@ -107,13 +107,6 @@
         self.swarm.tell(self.loop.time(), record)
         self.ground.flush()
 
-    def alter(self, **changes: object) -> None:
-        """Say something else of this process."""
-        for name, value in changes.items():
-            setattr(self.bee, name, value)
-        self.swarm.alter(self.loop.time(), self.bee)
-        self.ground.flush()
-
     # --- the configuration ---
 
     def in_force(self, number: int, generation: int, text: bytes) -> None:
--- a/zinclever/hive/swarm/records.py
+++ b/zinclever/hive/swarm/records.py
@@ -6,10 +6,14 @@
 import zlib
 from collections.abc import Iterable
 
-from ..dance.hive_pb2 import Holding, Record, Sum
+from google.protobuf.message import DecodeError
+
+from ..dance.hive_pb2 import Bee, Cell, Holding, Record, Sum, Version
 
 BEE, ENDPOINT, VERSION = 1, 2, 3
 RANGES = 64
+MOST_RECORDS = 100_000  # that are held: a mesh has a few for each machine
+MOST_RECORD = 1000  # bytes of one's body
 GONE = 2  # ranks from here on: what a record tells of has ended
 FADES = 10.0  # s after its end from which on a record is in no digest: nobody is to hear of it anew
 FORGOTTEN = 60.0  # s after its end for which it still refuses older news: a datagram lives for far less
@@ -27,6 +31,18 @@
     return r.kind, r.id
 
 
+def sound(r: Record) -> bool:
+    """Whether a record is one of the mesh's: of a known kind, with a body that can be read."""
+    bodies: dict[int, type[Bee] | type[Cell] | type[Version]] = {BEE: Bee, ENDPOINT: Cell, VERSION: Version}
+    if r.kind not in bodies or not r.id or len(r.body) > MOST_RECORD:
+        return False
+    try:
+        bodies[r.kind].FromString(r.body)
+    except DecodeError:
+        return False
+    return True
+
+
 def range_of(k: Key) -> int:
     return zlib.crc32(f"{k[0]} {k[1]}".encode()) % RANGES
 
--- a/zinclever/hive/swarm/swarm.py
+++ b/zinclever/hive/swarm/swarm.py
@@ -14,7 +14,7 @@
 
 from ...core.protocol import Address
 from ..dance.hive_pb2 import Bee, Holding, Record, Waggle
-from .records import BEE, GONE, Key, Records, key, order
+from .records import BEE, GONE, MOST_RECORDS, Key, Records, key, order, sound
 
 FANOUT = 3  # peers that hot news goes to at a time
 TICK = 0.2  # s between two turns
@@ -102,12 +102,6 @@
         bee = self.bee(name)
         return (bee.ip, bee.port) if bee is not None else None
 
-    def alter(self, now: float, bee: Bee) -> None:
-        """Say something else of this process."""
-        mine = self.records.held[(BEE, self.me)]
-        self.tell(now, Record(kind=BEE, id=self.me, life=mine.life, seq=mine.seq + 1, rank=0,
-                              body=bee.SerializeToString()))
-
     def leave(self, now: float) -> None:
         """This process ends in order."""
         mine = self.records.held[(BEE, self.me)]
@@ -274,10 +268,11 @@
             self.counts["dropped"] += 1
             return
         self.counts["heard"] += 1
-        self.heard[name] = now
         fresh = False
         for r in w.news:
             fresh = self.take(now, r, name) or fresh
+        if self.records.get(BEE, name) is not None:  # whoever else writes is not remembered
+            self.heard[name] = now
         if w.receipt:
             self.send(name, Waggle(received=w.receipt))
         if w.received and w.received in self.receipts:
@@ -319,6 +314,9 @@
                                       body=mine.body))
                 self.counts["refuted"] = self.counts.get("refuted", 0) + 1
             return False
+        if not sound(r) or (k not in self.records.held and len(self.records.held) >= MOST_RECORDS):
+            self.counts["dropped"] += 1
+            return False
         if not self.records.put(now, r):
             return False
         if r.kind == BEE:
