--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -1,8 +1,8 @@
 """How long news and changes take in the mesh, by its size, in simulated time.
 
-    PYTHONPATH=.:tests python -m benchmarks.mesh news 15 50 300
-    PYTHONPATH=.:tests python -m benchmarks.mesh order 3 5 7 9
-    PYTHONPATH=.:tests python -m benchmarks.mesh explore 40000
+    python -m benchmarks.mesh news 15 50 300
+    python -m benchmarks.mesh order 3 5 7 9
+    python -m benchmarks.mesh explore 40000
 """
 
 from __future__ import annotations
@@ -11,9 +11,9 @@
 import sys
 import time
 
-from colony.explore import Budget, Explorer
-from colony.order_world import World
-from colony.swarm_world import Field, endpoint
+from zinclever.hive.model.explore import Budget, Explorer
+from zinclever.hive.model.field import Field, endpoint
+from zinclever.hive.model.members import World
 
 LOSS = 0.02  # of datagrams
 SETTLES = 6.0  # s of simulated time until all have met
--- a/tests/colony/test_explore.py
+++ b/tests/colony/test_explore.py
@@ -5,10 +5,10 @@
 import unittest
 
 from colony.cases import params
-from colony.explore import Broken, Budget, Explorer
 from zinclever.hive.comb import acts
 from zinclever.hive.comb.order import Order
 from zinclever.hive.dance.hive_pb2 import Change, Comb
+from zinclever.hive.model.explore import Broken, Budget, Explorer
 
 
 class Explored(unittest.TestCase):
--- a/tests/colony/test_order.py
+++ b/tests/colony/test_order.py
@@ -5,12 +5,12 @@
 import unittest
 
 from colony.cases import params
-from colony.order_world import World
 from zinclever.hive.comb import acts as orders
 from zinclever.hive.comb.acts import Phase
 from zinclever.hive.comb.order import Order
 from zinclever.hive.comb.views import majority, needed, next_view
 from zinclever.hive.dance.hive_pb2 import Change, Comb, Seat
+from zinclever.hive.model.members import World
 
 
 def up(seed: int = 1, members: int = 3) -> World:
--- a/tests/colony/test_swarm.py
+++ b/tests/colony/test_swarm.py
@@ -6,8 +6,8 @@
 import unittest
 
 from colony.cases import params
-from colony.swarm_world import Field, endpoint
 from zinclever.hive.dance.hive_pb2 import Bee, Cell, Record, Waggle
+from zinclever.hive.model.field import Field, endpoint
 from zinclever.hive.swarm.records import BEE, FADES, FORGOTTEN, Records
 from zinclever.hive.swarm.swarm import Standing, Swarm
 
--- a/tests/colony/explore.py
+++ b/zinclever/hive/model/explore.py
@@ -14,9 +14,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from zinclever.hive.comb.acts import Kind, Reply, Save, Say, Settle, Vow
-from zinclever.hive.comb.order import Order
-from zinclever.hive.dance.hive_pb2 import Change, Comb, Seat
+from ..comb.acts import Kind, Reply, Save, Say, Settle, Vow
+from ..comb.order import Order
+from ..dance.hive_pb2 import Change, Comb, Seat
 
 STEP = 0.9  # s that pass in a turn: whoever doesn't hear from the one that acts tries to act
 
--- a/tests/colony/swarm_world.py
+++ b/zinclever/hive/model/field.py
@@ -6,9 +6,9 @@
 import itertools
 import random
 
-from zinclever.hive.dance.hive_pb2 import Bee, Record, Waggle
-from zinclever.hive.swarm.records import ENDPOINT
-from zinclever.hive.swarm.swarm import TICK, Swarm
+from ..dance.hive_pb2 import Bee, Record, Waggle
+from ..swarm.records import ENDPOINT
+from ..swarm.swarm import TICK, Swarm
 
 Address = tuple[str, int]
 
--- a/tests/colony/order_world.py
+++ b/zinclever/hive/model/members.py
@@ -6,9 +6,9 @@
 import random
 from dataclasses import dataclass, field
 
-from zinclever.hive.comb.acts import Reply, Save, Say, Settle, Vow
-from zinclever.hive.comb.order import Order
-from zinclever.hive.dance.hive_pb2 import Change, Comb, Seat
+from ..comb.acts import Reply, Save, Say, Settle, Vow
+from ..comb.order import Order
+from ..dance.hive_pb2 import Change, Comb, Seat
 
 
 @dataclass
