--- a/benchmarks/disk.py
+++ b/benchmarks/disk.py
@@ -1,6 +1,6 @@
 """What the control state costs on a disk, by its size: a save, a start, bytes and syncs.
 
-    python -m benchmarks.disk 0.02 1 4 10
+python -m benchmarks.disk 0.02 1 4 10
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 import time
 from pathlib import Path
 
-from zinclever.hive.wax.generations import Disk, Generations
+from zinclever.mesh.storage.generations import Disk, Generations
 
 SYNCS = (0.0005, 0.005)  # s that one takes
 SAVES = 12
@@ -55,10 +55,12 @@
         start = time.perf_counter() - began
         used = sum(p.stat().st_size for p in Path(folder).iterdir())
     waits.sort()
-    return (f"{size:g} MB, {1000 * each:g} ms a sync: promised after ms p50 {1000 * statistics.median(waits):.1f}, "
-            f"worst {1000 * waits[-1]:.1f}; changes a second {1 / statistics.mean(whole):.0f}; per change "
-            f"{files.syncs / SAVES:.0f} syncs, {files.bytes / SAVES / 1e6:.2f} MB; on the disk {used / 1e6:.1f} MB; "
-            f"read at a start in ms {1000 * start:.1f}")
+    return (
+        f"{size:g} MB, {1000 * each:g} ms a sync: promised after ms p50 {1000 * statistics.median(waits):.1f}, "
+        f"worst {1000 * waits[-1]:.1f}; changes a second {1 / statistics.mean(whole):.0f}; per change "
+        f"{files.syncs / SAVES:.0f} syncs, {files.bytes / SAVES / 1e6:.2f} MB; on the disk {used / 1e6:.1f} MB; "
+        f"read at a start in ms {1000 * start:.1f}"
+    )
 
 
 def main(sizes: list[float]) -> None:
--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -13,7 +13,7 @@
 import sys
 import time
 
-from colony.mesh import Mesh, read_message, run
+from mesh.cluster import Mesh, read_message, run
 
 
 async def ask(address: str, count: int) -> list[float]:
@@ -23,8 +23,10 @@
     spans = []
     for n in range(count):
         began = time.perf_counter()
-        writer.write(f"GET /one/safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {port}-{n}\r\n"
-                     f"X-Deadline-Ms: 2000\r\n\r\n".encode())
+        writer.write(
+            f"GET /one/safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {port}-{n}\r\n"
+            f"X-Deadline-Ms: 2000\r\n\r\n".encode()
+        )
         await read_message(reader)
         spans.append(1000.0 * (time.perf_counter() - began))
     writer.close()
@@ -35,7 +37,8 @@
     async with Mesh(["one", "two"]) as m:
         await m.serve()
         ways = {
-            "the endpoint alone": m.apps[0].address, "beside the endpoint": f"{m.ips[0]}:{m.port + 2}",
+            "the endpoint alone": m.apps[0].address,
+            "beside the endpoint": f"{m.ips[0]}:{m.port + 2}",
             "over a hop": f"{m.ips[1]}:{m.port + 2}",
         }
         for name, address in ways.items():
--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -1,9 +1,9 @@
 """How long news and changes take in the mesh, by its size, in simulated time.
 
-    python -m benchmarks.mesh news 15 50 300
-    python -m benchmarks.mesh cut 15 60
-    python -m benchmarks.mesh order 3 5 7 9
-    python -m benchmarks.mesh explore 40000
+python -m benchmarks.mesh news 15 50 300
+python -m benchmarks.mesh cut 15 60
+python -m benchmarks.mesh order 3 5 7 9
+python -m benchmarks.mesh explore 40000
 """
 
 from __future__ import annotations
@@ -12,9 +12,9 @@
 import sys
 import time
 
-from zinclever.hive.model.explore import Budget, Explorer
-from zinclever.hive.model.field import Field, endpoint
-from zinclever.hive.model.members import World
+from zinclever.mesh.model.explore import Budget, Explorer
+from zinclever.mesh.model.field import Field, endpoint
+from zinclever.mesh.model.members import World
 
 LOSS = 0.02  # of datagrams
 SETTLES = 6.0  # s of simulated time until all have met
@@ -40,13 +40,16 @@
             field.tell(field.rng.choice(field.names), drain)
             spans.append(field.until_all_know(drain))
         victim = field.names[-1]
-        del field.swarms[victim]
+        del field.gossips[victim]
         began = field.now
-        while any((s.standing(victim) or 0) < 2 for s in field.swarms.values()) and field.now < began + 30.0:
+        while any((s.standing(victim) or 0) < 2 for s in field.gossips.values()) and field.now < began + 30.0:
             field.run(0.05)
         wrongly = sum(d[2] != victim for d in field.deaths)
-        print(f"{size:5d} sidecars: a drain known by all after s: {spread(spans)}; "
-              f"a death after {field.now - began:.1f}; at rest {rest}; wrongly removed {wrongly}", flush=True)
+        print(
+            f"{size:5d} sidecars: a drain known by all after s: {spread(spans)}; "
+            f"a death after {field.now - began:.1f}; at rest {rest}; wrongly removed {wrongly}",
+            flush=True,
+        )
 
 
 def cut(sizes: list[int]) -> None:
@@ -66,14 +69,17 @@
             began = field.now
             while field.now < began + 30.0:
                 field.run(0.1)
-                sums = {tuple(s.records.sums) for s in field.swarms.values()}
-                if len(sums) == 1 and all(len(s.peers()) == size - 1 for s in field.swarms.values()):
+                sums = {tuple(s.records.sums) for s in field.gossips.values()}
+                if len(sums) == 1 and all(len(s.peers()) == size - 1 for s in field.gossips.values()):
                     break
             spent, span = field.bytes, field.now - began
             field.bytes = 0
             field.run(span)
-            print(f"{size} sidecars, {told} records told on each side: agreed after {span:.1f} s, "
-                  f"{(spent - field.bytes) / 1e3:.0f} kB beyond those of as long at rest", flush=True)
+            print(
+                f"{size} sidecars, {told} records told on each side: agreed after {span:.1f} s, "
+                f"{(spent - field.bytes) / 1e3:.0f} kB beyond those of as long at rest",
+                flush=True,
+            )
 
 
 def order(sizes: list[int]) -> None:
@@ -86,26 +92,28 @@
             world = World(seed, size, losses=1)
             world.run(3.0)
             for n in range(1, 21):
-                (acting,) = world.acting()
+                (leader,) = world.leaders()
                 began = world.now
-                world.put(acting, n - 1, n)
+                world.put(leader, n - 1, n)
                 while n not in world.acked:
                     world.run(0.001, step=0.001)
                 acks.append(world.now - began)
-            (acting,) = world.acting()
-            world.kill(acting)
+            (leader,) = world.leaders()
+            world.kill(leader)
             began = world.now
-            while not world.acting():
+            while not world.leaders():
                 world.run(0.01)
             gaps.append(world.now - began)
-        print(f"{size} members: acknowledged after s: {spread(acks)}; without one that acts: {spread(gaps)}",
-              flush=True)
+        print(
+            f"{size} members: acknowledged after s: {spread(acks)}; without one that acts: {spread(gaps)}", flush=True
+        )
 
 
 def explore(sizes: list[int]) -> None:
     """Every order of events for three members and two operators, breadth first, to so many states."""
     budgets = {
-        "a crash": Budget(turns=1, crashes=1, losses=0), "a lost disk": Budget(turns=1, crashes=0, wipes=1, losses=0),
+        "a crash": Budget(turns=1, crashes=1, losses=0),
+        "a lost disk": Budget(turns=1, crashes=0, wipes=1, losses=0),
         "a lost message, two take-overs": Budget(turns=2, crashes=0, losses=1),
         "a doubled message": Budget(turns=1, crashes=0, losses=0, doubles=1),
     }
--- a/hive.py
+++ b/meshd.py
@@ -1,4 +1,4 @@
-"""The program of the mesh: ``python3 hive.py ROLE``."""
+"""The program of the mesh: ``python3 meshd.py ROLE``."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 # are compiled for the sidecar in service don't allow. Said before any of them is imported.
 os.environ["ZINCLEVER_NATIVE"] = "text"
 
-from zinclever.hive.cli import main
+from zinclever.mesh.cli import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/colony/mesh.py
+++ b/tests/mesh/cluster.py
@@ -14,9 +14,9 @@
 
 import uvloop
 
-from zinclever.hive.roles import boot
-from zinclever.hive.roles.comb import CombRole
-from zinclever.hive.roles.forager import Forager
+from zinclever.mesh.roles import boot
+from zinclever.mesh.roles.control import ControlRole
+from zinclever.mesh.roles.sidecar import Sidecar
 
 PATIENCE = 20.0  # s: far more than any wait here takes
 _nets = itertools.count(1)
@@ -26,13 +26,18 @@
 
 
 def good(headers: dict[str, str], body: bytes = b"made") -> bytes:
-    return (b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\nContent-Length: %d\r\n\r\n%b"
-            % (headers["x-attempt-id"].encode(), len(body), body))
+    return b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Server-Seal: s\r\nContent-Length: %d\r\n\r\n%b" % (
+        headers["x-attempt-id"].encode(),
+        len(body),
+        body,
+    )
 
 
 def away(headers: dict[str, str]) -> bytes:
-    return (b"HTTP/1.1 503 Busy\r\nX-Attempt-Id: %b\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-            % headers["x-attempt-id"].encode())
+    return (
+        b"HTTP/1.1 503 Busy\r\nX-Attempt-Id: %b\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        % headers["x-attempt-id"].encode()
+    )
 
 
 async def until(true: Callable[[], Any]) -> None:
@@ -98,11 +103,13 @@
 
     def beat(self, phase: str = "ready") -> bytes:
         self.seq += 1
-        return json.dumps({
-            "Address": self.address,
-            "Descriptor": {"Target": self.service, "Generation": "v1", "Zone": "z", "Capacity": 4},
-            "Observed": {"Phase": phase, "CallSeq": self.seq, "ColdLeftS": 0},
-        }).encode()
+        return json.dumps(
+            {
+                "Address": self.address,
+                "Descriptor": {"Target": self.service, "Generation": "v1", "Zone": "z", "Capacity": 4},
+                "Observed": {"Phase": phase, "CallSeq": self.seq, "ColdLeftS": 0},
+            }
+        ).encode()
 
 
 class Mesh:
@@ -117,50 +124,61 @@
         self.port = min(port, 65000)
         self.folder = tempfile.TemporaryDirectory()
         self.ips = [f"127.77.{net}.{10 + n}" for n in range(len(services))]
-        self.apps = [App(f"{ip}:{self.port + 6}", s, (plans or {}).get(n, good))
-                     for n, (ip, s) in enumerate(zip(self.ips, services, strict=True))]
+        self.apps = [
+            App(f"{ip}:{self.port + 6}", s, (plans or {}).get(n, good))
+            for n, (ip, s) in enumerate(zip(self.ips, services, strict=True))
+        ]
         self.ids = itertools.count(1)
 
     def boot(self, ip: str, role: str, **more: Any) -> boot.Boot:
         names = ("Egress", "Readiness", "ControlPlane") if role == "forager" else ("ControlPlane",)
         bind = {n: f"{ip}:{self.port + 2 + k}" for k, n in enumerate(names)}
         told = {
-            "NodeName": ip, "Role": role, "Ip": ip, "Zone": "z", "Serves": [], "Bind": bind,
-            "EphemeralPorts": [self.port, self.port + 1], "SeedNodes": [f"{self.core}:{self.port + 2}"],
-            "Bootstrap": True, "Limits": {"MaxFds": 1024}, "FaultModel": {"HostLosses": 0},
+            "NodeName": ip,
+            "Role": role,
+            "Ip": ip,
+            "Zone": "z",
+            "Serves": [],
+            "Bind": bind,
+            "EphemeralPorts": [self.port, self.port + 1],
+            "SeedNodes": [f"{self.core}:{self.port + 2}"],
+            "Bootstrap": True,
+            "Limits": {"MaxFds": 1024},
+            "FaultModel": {"HostLosses": 0},
             "Bounds": ["RetryRatio=0.2", "RetryWindowS=10", "RetrySlack=60", "GraceS=1"],
         }
         return boot.read(json.dumps({**told, **more}).encode())
 
     async def __aenter__(self) -> Mesh:
-        self.comb = CombRole(self.boot(self.core, "comb", StateDir=str(Path(self.folder.name) / "disk")))
-        await self.comb.start()
-        self.foragers: list[Forager] = []
+        self.control = ControlRole(self.boot(self.core, "comb", StateDir=str(Path(self.folder.name) / "disk")))
+        await self.control.start()
+        self.sidecars: list[Sidecar] = []
         for ip, app in zip(self.ips, self.apps, strict=True):
             await app.start()
-            f = Forager(self.boot(ip, "forager", AppAddr=app.address, Target=app.service))
+            f = Sidecar(self.boot(ip, "forager", AppAddr=app.address, Target=app.service))
             await f.start()
-            self.foragers.append(f)
+            self.sidecars.append(f)
         return self
 
     async def __aexit__(self, *error: object) -> None:
-        for f in self.foragers:
+        for f in self.sidecars:
             for server in f.servers:
                 server.close()
-            f.colony.stop()
+            f.node.stop()
         for app in self.apps:
             await app.stop()
-        self.comb.colony.stop()
-        if self.comb.server is not None:
-            self.comb.server.close()
-        self.comb.store.close()
-        self.comb.store.thread.shutdown(wait=True)  # a save may be under way in the folder
+        self.control.node.stop()
+        if self.control.server is not None:
+            self.control.server.close()
+        self.control.store.close()
+        self.control.store.thread.shutdown(wait=True)  # a save may be under way in the folder
         self.folder.cleanup()
 
     # --- callers ---
 
-    async def call(self, address: str, method: str, path: str, body: bytes = b"",
-                   **headers: Any) -> tuple[int, dict[str, str], bytes]:
+    async def call(
+        self, address: str, method: str, path: str, body: bytes = b"", **headers: Any
+    ) -> tuple[int, dict[str, str], bytes]:
         host, _, port = address.partition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         lines = "".join(f"{n.replace('_', '-')}: {v}\r\n" for n, v in {"Host": "a.example", **headers}.items())
@@ -170,21 +188,24 @@
         writer.close()
         return int(start.split()[1]), told, made
 
-    async def ask(self, path: str, method: str = "GET", at: int = 0, body: bytes = b"",
-                  **headers: Any) -> tuple[int, dict[str, str], bytes]:
+    async def ask(
+        self, path: str, method: str = "GET", at: int = 0, body: bytes = b"", **headers: Any
+    ) -> tuple[int, dict[str, str], bytes]:
         """A client's request at one of the sidecars."""
         told = {"X_Attempt_Id": f"r{next(self.ids)}", "X_Deadline_Ms": "3000", **headers}
         return await self.call(f"{self.ips[at]}:{self.port + 2}", method, path, body, **told)
 
     async def put(self, config: dict[str, Any] | bytes, base: int) -> tuple[int, dict[str, str], bytes]:
         text = config if isinstance(config, bytes) else json.dumps(config).encode()
-        return await self.call(f"{self.core}:{self.port + 2}", "POST", "/v1/config/replace", text,
-                               X_Base_Version=str(base))
+        return await self.call(
+            f"{self.core}:{self.port + 2}", "POST", "/v1/config/replace", text, X_Base_Version=str(base)
+        )
 
     async def beat(self, n: int, phase: str = "ready") -> int:
         app = self.apps[n]
-        status, _, _ = await self.call(f"{self.ips[n]}:{self.port + 4}", "POST",
-                                       f"/v1/endpoints/{app.id}/heartbeat", app.beat(phase))
+        status, _, _ = await self.call(
+            f"{self.ips[n]}:{self.port + 4}", "POST", f"/v1/endpoints/{app.id}/heartbeat", app.beat(phase)
+        )
         return status
 
     async def serve(self) -> None:
@@ -193,11 +214,11 @@
             assert await self.beat(n) == 200
         status, _, _ = await self.put(config(*{a.service for a in self.apps}), 0)
         assert status == 200, status
-        await until(lambda: all(f.colony.pantry.generation == 1 for f in self.foragers))
-        await until(lambda: all(self.known(f) == len(self.apps) for f in self.foragers))
+        await until(lambda: all(f.node.active.generation == 1 for f in self.sidecars))
+        await until(lambda: all(self.known(f) == len(self.apps) for f in self.sidecars))
 
-    def known(self, forager: Forager) -> int:
-        return sum(len(f.wire.places) for f in forager.flights.flights.values())
+    def known(self, sidecar: Sidecar) -> int:
+        return sum(len(f.wire.places) for f in sidecar.flights.flights.values())
 
     def runs(self) -> int:
         return sum(len(a.seen) for a in self.apps)
@@ -206,9 +227,18 @@
 def config(*services: str, generation: int = 1) -> dict[str, Any]:
     """Safe requests under /SERVICE/safe/, others under /SERVICE/unsafe/."""
     routes = {
-        f"{s}-{kind}": {"Authority": "a.example", "PathPrefix": f"/{s}/{kind}/", "RouteClass": told, "DeadlineS": 3,
-                        "TargetLatencyS": 2, "Priority": 1, "MaxAttempts": 2, "Target": s}
-        for s in services for kind, told in (("safe", "idempotent"), ("unsafe", "non_idempotent"))
+        f"{s}-{kind}": {
+            "Authority": "a.example",
+            "PathPrefix": f"/{s}/{kind}/",
+            "RouteClass": told,
+            "DeadlineS": 3,
+            "TargetLatencyS": 2,
+            "Priority": 1,
+            "MaxAttempts": 2,
+            "Target": s,
+        }
+        for s in services
+        for kind, told in (("safe", "idempotent"), ("unsafe", "non_idempotent"))
     }
     return {"Generation": generation, "Routes": routes, "Services": {s: {} for s in services}}
 
--- a/tests/colony/test_honey.py
+++ b/tests/mesh/test_configuration.py
@@ -8,21 +8,34 @@
 import zlib
 from typing import Any
 
-from colony.cases import params
-from zinclever.hive.errors import HiveError
-from zinclever.hive.gate.matchers import Tree
-from zinclever.hive.honey.pantry import Pantry, unpack
-from zinclever.hive.honey.recipe import MOST_TEXT, read
-from zinclever.hive.roles import boot
+from mesh.cases import params
+from zinclever.mesh.configuration.active import ActiveConfiguration, unpack
+from zinclever.mesh.configuration.document import MOST_TEXT, read
+from zinclever.mesh.control_api.matchers import Tree
+from zinclever.mesh.errors import MeshError
+from zinclever.mesh.roles import boot
 
 CONFIG: dict[str, Any] = {
     "Generation": 7,
     "Routes": {
-        "search": {"Authority": "A.example", "PathPrefix": "/s/", "RouteClass": "idempotent", "DeadlineS": 1.5,
-                   "TargetLatencyS": 0.6, "Priority": 2, "MaxAttempts": 2,
-                   "WeightedTargets": [{"Target": "one", "Weight": 90}, {"Target": "two", "Weight": 10}]},
-        "deep": {"Authority": "a.example", "PathPrefix": "/s/deep/", "RouteClass": "non_idempotent", "DeadlineS": 2,
-                 "Target": "two", "New": {"field": 1}},
+        "search": {
+            "Authority": "A.example",
+            "PathPrefix": "/s/",
+            "RouteClass": "idempotent",
+            "DeadlineS": 1.5,
+            "TargetLatencyS": 0.6,
+            "Priority": 2,
+            "MaxAttempts": 2,
+            "WeightedTargets": [{"Target": "one", "Weight": 90}, {"Target": "two", "Weight": 10}],
+        },
+        "deep": {
+            "Authority": "a.example",
+            "PathPrefix": "/s/deep/",
+            "RouteClass": "non_idempotent",
+            "DeadlineS": 2,
+            "Target": "two",
+            "New": {"field": 1},
+        },
     },
     "Services": {"one": {"HealthPath": "/health", "MaxConns": 120}, "two": {}},
     "Limits": {"MaxHeaderBytes": 16384},
@@ -45,8 +58,12 @@
 
 class Recipes(unittest.TestCase):
     @params(
-        ("a.example", "/s/x", "search"), ("a.example", "/s/deep/x", "deep"), ("a.example", "/s/deep", "search"),
-        ("a.example", "/other/", None), ("b.example", "/s/x", None), ("a.example", "/", None),
+        ("a.example", "/s/x", "search"),
+        ("a.example", "/s/deep/x", "deep"),
+        ("a.example", "/s/deep", "search"),
+        ("a.example", "/other/", None),
+        ("b.example", "/s/x", None),
+        ("a.example", "/", None),
     )
     def test_the_longest_prefix(self, host: str, path: str, want: str | None) -> None:
         route = read(json.dumps(CONFIG).encode()).find(host, path)
@@ -61,41 +78,51 @@
         ("Routes.deep.RouteClass", "maybe", "Routes.deep.RouteClass"),
         ("Routes.deep.PathPrefix", "/s/", "Routes.deep.PathPrefix"),
         ("Routes.search.WeightedTargets", [{"Target": "one", "Weight": 0}], "Routes.search.WeightedTargets"),
-        ("Routes", [], "Routes"), ("Services", None, "Services"), ("Generation", "7", "Generation"),
+        ("Routes", [], "Routes"),
+        ("Services", None, "Services"),
+        ("Generation", "7", "Generation"),
         ("Limits.MaxHeaderBytes", -1, "Limits.MaxHeaderBytes"),
     )
     def test_invalid_ones_name_the_field(self, path: str, value: Any, field: str) -> None:
-        with self.assertRaises(HiveError) as caught:
+        with self.assertRaises(MeshError) as caught:
             read(changed(path, value))
         self.assertEqual(caught.exception.field, field)
 
     @params(b"", b"{", b"[]", b'{"Generation":1}', b"\xff")
     def test_what_can_not_be_read_whole(self, text: bytes) -> None:
-        with self.assertRaises(HiveError):
+        with self.assertRaises(MeshError):
             read(text)
 
     def test_only_forward(self) -> None:
-        pantry, text = Pantry(), json.dumps(CONFIG).encode()
-        self.assertTrue(pantry.take(3, 7, text))
-        self.assertFalse(pantry.take(2, 9, changed("Generation", 9)))
-        self.assertEqual(pantry.generation, 7)
-        with self.assertRaises(HiveError):
-            pantry.take(4, 9, b"{")
-        self.assertEqual(pantry.number, 3)
+        active, text = ActiveConfiguration(), json.dumps(CONFIG).encode()
+        self.assertTrue(active.take(3, 7, text))
+        self.assertFalse(active.take(2, 9, changed("Generation", 9)))
+        self.assertEqual(active.generation, 7)
+        with self.assertRaises(MeshError):
+            active.take(4, 9, b"{")
+        self.assertEqual(active.number, 3)
 
     def test_two_thousand_routes(self) -> None:
         made = copy.deepcopy(CONFIG)
         for n in range(2000):
             made["Routes"][f"r{n}"] = {**CONFIG["Routes"]["deep"], "PathPrefix": f"/p{n}/"}
-        recipe = read(json.dumps(made).encode())
-        route = recipe.find("a.example", "/p1999/x")
+        configuration = read(json.dumps(made).encode())
+        route = configuration.find("a.example", "/p1999/x")
         self.assertEqual(route.name if route else None, "r1999")
 
 
 BOOT: dict[str, Any] = {
-    "NodeName": "n1", "Role": "forager", "Ip": "127.0.0.1", "Zone": "z", "Serves": ["auxiliary"],
-    "Bind": {"Egress": "127.0.0.1:1"}, "EphemeralPorts": [7620, 7635], "SeedNodes": ["127.0.0.2:5"],
-    "Bounds": ["DrainS=2", "Closed=false,RetryRatio=0.2"], "StateDir": None, "Later": 1,
+    "NodeName": "n1",
+    "Role": "forager",
+    "Ip": "127.0.0.1",
+    "Zone": "z",
+    "Serves": ["auxiliary"],
+    "Bind": {"Egress": "127.0.0.1:1"},
+    "EphemeralPorts": [7620, 7635],
+    "SeedNodes": ["127.0.0.2:5"],
+    "Bounds": ["DrainS=2", "Closed=false,RetryRatio=0.2"],
+    "StateDir": None,
+    "Later": 1,
 }
 
 
@@ -106,14 +133,19 @@
         self.assertEqual(told.seeds, (("127.0.0.2", 5),))
 
     @params(
-        ("NodeName", None), ("EphemeralPorts", [1]), ("EphemeralPorts", [9, 8]), ("SeedNodes", ["x"]),
-        ("Bind", {"Egress": "nowhere"}), ("Bounds", ["DrainS=soon"]), ("HeartbeatS", 0),
+        ("NodeName", None),
+        ("EphemeralPorts", [1]),
+        ("EphemeralPorts", [9, 8]),
+        ("SeedNodes", ["x"]),
+        ("Bind", {"Egress": "nowhere"}),
+        ("Bounds", ["DrainS=soon"]),
+        ("HeartbeatS", 0),
     )
     def test_refused(self, field: str, value: Any) -> None:
         made = {**BOOT, field: value}
         if value is None:
             del made[field]
-        with self.assertRaises(HiveError):
+        with self.assertRaises(MeshError):
             boot.read(json.dumps(made).encode())
 
 
@@ -123,7 +155,9 @@
         ("POST", "/v1/endpoints/i-1/heartbeat?x=1", "beat", ["i-1"], True),
         ("GET", "/v1/endpoints/i-1/heartbeat", None, ["i-1"], True),
         ("POST", "/v1/endpoints//heartbeat", None, [], False),
-        ("GET", "/v1/ready", "ready", [], True), ("GET", "/v1", None, [], False), ("GET", "/", None, [], False),
+        ("GET", "/v1/ready", "ready", [], True),
+        ("GET", "/v1", None, [], False),
+        ("GET", "/", None, [], False),
     )
     def test_find(self, method: str, path: str, want: str | None, captured: list[str], known: bool) -> None:
         tree: Tree[str] = Tree()
@@ -134,18 +168,18 @@
 
 class Packed(unittest.TestCase):
     def test_there_and_back(self) -> None:
-        pantry = Pantry()
+        active = ActiveConfiguration()
         text = json.dumps({"Generation": 1, "Routes": {}, "Services": {f"s{n}": {} for n in range(2000)}}).encode()
-        pantry.take(1, 1, text)
-        packed = pantry.pack()
+        active.take(1, 1, text)
+        packed = active.pack()
         self.assertLess(len(packed), len(text) / 4)
         self.assertEqual(unpack(packed), text)
-        pantry.take(2, 2, b'{"Generation": 2, "Routes": {}, "Services": {}}')
-        self.assertEqual(pantry.pack(), b"")  # too small to be worth it
+        active.take(2, 2, b'{"Generation": 2, "Routes": {}, "Services": {}}')
+        self.assertEqual(active.pack(), b"")  # too small to be worth it
 
     @params(b"", b"no zlib", zlib.compress(b"x" * 100)[:-3], zlib.compress(bytes(MOST_TEXT + 1)))
     def test_what_is_none_is_refused(self, packed: bytes) -> None:
-        with self.assertRaises(HiveError):
+        with self.assertRaises(MeshError):
             unpack(packed)
 
 
--- a/tests/colony/test_order.py
+++ b/tests/mesh/test_consensus.py
@@ -1,21 +1,21 @@
-"""The one order of changes, through everything that may happen to its members."""
+"""The replicated log, through everything that may happen to its members."""
 
 from __future__ import annotations
 
 import unittest
 
-from colony.cases import params
-from zinclever.hive.comb import acts as orders
-from zinclever.hive.comb.acts import Phase
-from zinclever.hive.comb.order import Order
-from zinclever.hive.comb.views import digest, majority, needed, next_view
-from zinclever.hive.dance.hive_pb2 import Change, Comb, Seat
-from zinclever.hive.model.histories import Call, Told, linearizable
-from zinclever.hive.model.members import World
+from mesh.cases import params
+from zinclever.mesh.consensus import messages as orders
+from zinclever.mesh.consensus.messages import ReplicaRole
+from zinclever.mesh.consensus.quorum import commit_quorum, digest, majority, next_voters
+from zinclever.mesh.consensus.replica import Replica
+from zinclever.mesh.model.histories import Call, Told, linearizable
+from zinclever.mesh.model.members import World
+from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
 
 
 def up(seed: int = 1, members: int = 3) -> World:
-    """A world whose first view stands."""
+    """A world whose first voters stands."""
     w = World(seed, members)
     w.run(2.0)
     return w
@@ -25,8 +25,8 @@
     @params(1, 2, 3, 4, 5, 7)
     def test_is_founded_once(self, members: int) -> None:
         w = up(members=members)
-        self.assertEqual(len(w.acting()), 1)
-        self.assertEqual(len(w.newest().seats), members)
+        self.assertEqual(len(w.leaders()), 1)
+        self.assertEqual(len(w.newest().voters), members)
         self.assertEqual(w.newest().number, 1)
 
     @params(*range(8))
@@ -37,22 +37,22 @@
         w.run(0.3)
         w.start("10.0.0.0")
         w.run(4.0)
-        self.assertEqual(len(w.newest().seats), 3)
-        self.assertEqual(len(w.acting()), 1)
+        self.assertEqual(len(w.newest().voters), 3)
+        self.assertEqual(len(w.leaders()), 1)
 
     def test_other_seeds_later_found_nothing(self) -> None:
         w = up()
         w.founders = [("10.0.0.7", 1), ("10.0.0.8", 1), ("10.0.0.0", 1)]
         w.add("10.0.0.7")
         w.run(4.0)
-        self.assertEqual(len(w.newest().seats), 4)
-        self.assertEqual(len(w.acting()), 1)
+        self.assertEqual(len(w.newest().voters), 4)
+        self.assertEqual(len(w.leaders()), 1)
 
 
 class Changes(unittest.TestCase):
     def test_two_operators_on_one_version(self) -> None:
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         w.put(ip, 0, 5)
         w.put(ip, 0, 6)
         w.run(1.0)
@@ -66,7 +66,7 @@
 
     def test_a_version_that_is_not_above(self) -> None:
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         w.put(ip, 0, 5)
         w.run(0.5)
         w.put(ip, 5, 4)
@@ -75,13 +75,13 @@
 
     def test_no_majority_no_acknowledgement(self) -> None:
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         others = [o for o in w.machines if o != ip]
         w.cut = {(a, b) for a in w.machines for b in w.machines if ip in (a, b) and a != b}
         w.put(ip, 0, 5)
         w.run(4.0)
         self.assertFalse(w.acked)
-        (new,) = [a for a in w.acting() if a != ip]
+        (new,) = [a for a in w.leaders() if a != ip]
         self.assertIn(new, others)
         w.put(new, 0, 6)
         w.run(1.0)
@@ -91,30 +91,30 @@
 
     def test_one_way_cut_of_the_one_that_acts(self) -> None:
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         w.cut = {(o, ip) for o in w.machines if o != ip}  # it speaks, and hears nobody
         w.run(3.0)
-        (new,) = [a for a in w.acting() if a != ip]
+        (new,) = [a for a in w.leaders() if a != ip]
         w.put(new, 0, 6)
         w.run(1.0)
         self.assertEqual(list(w.acked), [6])
 
     def test_reads_need_a_majority(self) -> None:
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         w.put(ip, 0, 5)
         w.run(0.5)
         w.cut = {(a, b) for a in w.machines for b in w.machines if ip in (a, b) and a != b}
-        found: list[int] = []
-        order = w.machines[ip].order
-        assert order is not None
-        order.get(w.now, 999)
+        found_cluster: list[int] = []
+        replica = w.machines[ip].replica
+        assert replica is not None
+        replica.get(w.now, 999)
         for _ in range(40):
             w.now += 0.05
-            order.tick(w.now)
-            found += [a.status for a in order.out if isinstance(a, orders.Reply) and a.call == 999]
-            order.out.clear()
-        self.assertEqual(found, [503])
+            replica.tick(w.now)
+            found_cluster += [a.status for a in replica.out if isinstance(a, orders.Reply) and a.call == 999]
+            replica.out.clear()
+        self.assertEqual(found_cluster, [503])
 
 
 class Losses(unittest.TestCase):
@@ -122,7 +122,7 @@
     def test_each_disk_lost_right_after_an_acknowledgement(self, which: int) -> None:
         for seed in range(12):
             w = up(seed)
-            w.put(w.acting()[0], 0, 5)
+            w.put(w.leaders()[0], 0, 5)
             while 5 not in w.acked:
                 w.run(0.01)
             for n, ip in enumerate(list(w.machines)):
@@ -132,77 +132,77 @@
                     w.kill(ip)
             w.quiet()
             w.nothing_lost()
-            self.assertEqual(len(w.newest().seats), 3)
+            self.assertEqual(len(w.newest().voters), 3)
 
     def test_an_empty_disk_counts_only_once_it_was_let_in(self) -> None:
         w = up()
-        (ip,) = w.acting()
-        old = [s.disk for s in w.newest().seats]
+        (ip,) = w.leaders()
+        old = [s.disk for s in w.newest().voters]
         victim = next(o for o in w.machines if o != ip)
         w.wipe(victim)
         w.run(0.5)
-        self.assertEqual([s.disk for s in w.newest().seats], old)
+        self.assertEqual([s.disk for s in w.newest().voters], old)
         w.start(victim)
         w.run(2.0)
-        self.assertEqual(len(w.newest().seats), 3)
-        self.assertIn(w.machines[victim].disk.name, [s.disk for s in w.newest().seats])
+        self.assertEqual(len(w.newest().voters), 3)
+        self.assertIn(w.machines[victim].disk.name, [s.disk for s in w.newest().voters])
 
     def test_replaced_machines_one_after_another(self) -> None:
         w = up()
-        w.put(w.acting()[0], 0, 5)
+        w.put(w.leaders()[0], 0, 5)
         w.run(0.5)
         for n in range(3):
             w.remove(f"10.0.0.{n}")
             w.run(1.5)
             w.add(f"10.0.0.{10 + n}")
             w.run(3.0)
-            self.assertEqual(len(w.newest().seats), 3)
+            self.assertEqual(len(w.newest().voters), 3)
         w.nothing_lost()
-        self.assertEqual({s.ip for s in w.newest().seats}, {f"10.0.0.{10 + n}" for n in range(3)})
+        self.assertEqual({s.ip for s in w.newest().voters}, {f"10.0.0.{10 + n}" for n in range(3)})
 
     def test_planned_replacement_leaves_as_many_voices(self) -> None:
         w = up()
         w.add("10.0.0.10")
         w.run(4.0)
-        self.assertEqual(len(w.newest().seats), 4)
+        self.assertEqual(len(w.newest().voters), 4)
         w.remove("10.0.0.1")
         w.run(3.0)
-        self.assertEqual(len(w.newest().seats), 3)
+        self.assertEqual(len(w.newest().voters), 3)
 
     def test_one_that_ends_in_order_is_followed_at_once(self) -> None:
         for seed in range(6):
             w = up(seed)
-            (ip,) = w.acting()
-            order = w.machines[ip].order
-            assert order is not None
-            order.resign(w.now)
+            (ip,) = w.leaders()
+            replica = w.machines[ip].replica
+            assert replica is not None
+            replica.hand_over(w.now)
             w.carry_out(w.machines[ip])
             w.run(0.05)
             w.kill(ip)
             w.run(0.2)
-            self.assertEqual(len(w.acting()), 1)
+            self.assertEqual(len(w.leaders()), 1)
 
     def test_two_that_courted_under_one_epoch(self) -> None:
-        """The second one has vowed the epoch to itself when the first has its majority, and then follows it. The third
-        is lost: nothing is settled without the second, which refuses that epoch for good."""
+        """The second one has vowed the term to itself when the first has its majority, and then follows it. The third
+        is lost: nothing is committed without the second, which refuses that term for good."""
         w = up()
-        a, b, c = (w.machines[f"10.0.0.{n}"].order for n in range(3))
+        a, b, c = (w.machines[f"10.0.0.{n}"].replica for n in range(3))
         assert a is not None and b is not None and c is not None
         w.put("10.0.0.0", 0, 5)
         w.run(0.5)
-        for order in (a, b, c):
-            order.become(Phase.FOLLOWS, w.now)
-            order.heard_acting, order.acting = w.now - 1.0, ""
+        for replica in (a, b, c):
+            replica.become(ReplicaRole.FOLLOWER, w.now)
+            replica.leader_heard_at, replica.leader = w.now - 1.0, ""
         w.cut = {(x, y) for x in w.machines for y in w.machines if {x, y} != {"10.0.0.0", "10.0.0.2"} and x != y}
-        a.court(w.now)
-        b.court(w.now)
-        self.assertEqual(a.epoch, b.epoch)
+        a.start_election(w.now)
+        b.start_election(w.now)
+        self.assertEqual(a.term, b.term)
         w.run(0.2)
-        self.assertEqual(w.acting(), ["10.0.0.0"])
+        self.assertEqual(w.leaders(), ["10.0.0.0"])
         w.cut = set()
         w.kill("10.0.0.2")
         w.run(4.0)
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         self.assertTrue(w.reads(ip))
         for _ in range(2):  # the first one finds it out, and has no clear answer
             w.put(ip, 5, 6)
@@ -211,30 +211,30 @@
 
     def test_a_change_of_view_needs_the_old_one_no_more(self) -> None:
         """All power is gone right after one was replaced, then another is lost for good: the rest are a majority of the
-        view in force, and have to know that those of the one before have no say any more."""
+        voters in force, and have to know that those of the one before have no send any more."""
         w = up()
         w.put("10.0.0.0", 0, 5)
         w.run(0.5)
         w.remove("10.0.0.2")
         w.add("10.0.0.9")
-        while "10.0.0.9" not in {s.ip for s in w.newest().seats}:
+        while "10.0.0.9" not in {s.ip for s in w.newest().voters}:
             w.run(0.05)
         w.run(0.2)
         for ip in list(w.machines):
             w.kill(ip)
         w.remove("10.0.0.0")
         w.quiet(4.0)
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         self.assertTrue(w.reads(ip))
         w.nothing_lost()
 
     def test_time_without_one_that_acts(self) -> None:
         for seed in range(10):
             w = up(seed)
-            (ip,) = w.acting()
+            (ip,) = w.leaders()
             w.kill(ip)
             at = w.now
-            while not w.acting():
+            while not w.leaders():
                 w.run(0.05)
                 self.assertLess(w.now - at, 2.0)
 
@@ -243,80 +243,80 @@
     """Copies are compared by digests; one that differs from a majority is mended, on its disk, too."""
 
     def spoil(self, w: World, ip: str) -> None:
-        order = w.machines[ip].order
-        assert order is not None and order.accepted is not None
-        for change in (order.settled, order.accepted):
-            change.text = b"spoilt"
-        order.digest = digest(order.settled)
+        replica = w.machines[ip].replica
+        assert replica is not None and replica.accepted is not None
+        for entry in (replica.committed, replica.accepted):
+            entry.text = b"spoilt"
+        replica.digest = digest(replica.committed)
 
     def test_a_copy_that_differs(self) -> None:
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         w.put(ip, 0, 5)
         w.run(0.5)
         other = next(o for o in w.machines if o != ip)
         self.spoil(w, other)
         w.run(1.5)
         m = w.machines[other]
-        assert m.order is not None and m.disk.accepted is not None
-        self.assertEqual((m.order.settled.text, m.disk.accepted.text), (b"config 5", b"config 5"))
+        assert m.replica is not None and m.disk.accepted is not None
+        self.assertEqual((m.replica.committed.text, m.disk.accepted.text), (b"config 5", b"config 5"))
         w.put(ip, 5, 6)
         w.run(0.5)
         self.assertIn(6, w.acked)
 
     def test_the_one_that_acts_mends_nobody_alone(self) -> None:
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         w.put(ip, 0, 5)
         w.run(0.5)
         self.spoil(w, ip)
         w.run(1.5)
-        texts = sorted(m.order.settled.text for m in w.machines.values() if m.order is not None)
+        texts = sorted(m.replica.committed.text for m in w.machines.values() if m.replica is not None)
         self.assertEqual(texts, [b"config 5", b"config 5", b"spoilt"])
 
     def test_a_vote_for_what_follows_stays(self) -> None:
-        """One that has promised the next change, and is mended in the one before, still has the next."""
+        """One that has promised the next entry, and is mended in the one before, still has the next."""
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         w.put(ip, 0, 5)
         w.run(0.5)
         other = next(o for o in w.machines if o != ip)
-        order = w.machines[other].order
-        assert order is not None and order.accepted is not None
-        ahead = Change()
-        ahead.CopyFrom(order.accepted)
+        replica = w.machines[other].replica
+        assert replica is not None and replica.accepted is not None
+        ahead = LogEntry()
+        ahead.CopyFrom(replica.accepted)
         ahead.number, ahead.text = ahead.number + 1, b"next"
-        order.accepted = ahead
-        sound = Change()
-        sound.CopyFrom(order.settled)
-        order.settled.text = b"spoilt"
-        order.digest = digest(order.settled)
-        order.take_settled(w.now, sound)
-        self.assertEqual((order.settled.text, order.accepted.text), (b"config 5", b"next"))
-        self.assertFalse([a for a in order.out if isinstance(a, orders.Save)])
+        replica.accepted = ahead
+        sound = LogEntry()
+        sound.CopyFrom(replica.committed)
+        replica.committed.text = b"spoilt"
+        replica.digest = digest(replica.committed)
+        replica.take_committed(w.now, sound)
+        self.assertEqual((replica.committed.text, replica.accepted.text), (b"config 5", b"next"))
+        self.assertFalse([a for a in replica.out if isinstance(a, orders.Persist)])
 
 
 class Storms(unittest.TestCase):
-    """Days drawn from a seed: whatever happens, in whatever order, within what is to be borne."""
+    """Days drawn from a seed: whatever happens, in whatever replica, within what is to be borne."""
 
-    def day(self, seed: int, kind: type[Order] = Order) -> World:
+    def day(self, seed: int, kind: type[Replica] = Replica) -> World:
         w = World(seed, kind=kind)
         w.run(2.0)
         w.loss, w.doubles, w.delay, w.synced = 0.1, 0.1, 0.01, 0.15
         generation, hurt, names = 0, "", 20
         for _ in range(40):
             w.run(0.3 * w.rng.random())
-            for ip in w.acting():
-                order = w.machines[ip].order
-                if order is not None and w.rng.random() < 0.7:
+            for ip in w.leaders():
+                replica = w.machines[ip].replica
+                if replica is not None and w.rng.random() < 0.7:
                     for _ in range(w.rng.randrange(1, 3)):
                         generation += 1
-                        w.put(ip, order.settled.generation, generation)
+                        w.put(ip, replica.committed.generation, generation)
                 if w.rng.random() < 0.5:
                     w.get(ip)
             draw = w.rng.random()
             if hurt and draw < 0.5:  # one machine at a time is lost: it is whole again before the next one is
-                if hurt in w.machines and w.machines[hurt].order is None:
+                if hurt in w.machines and w.machines[hurt].replica is None:
                     w.start(hurt)
                 w.cut.clear()
                 w.full.clear()
@@ -340,12 +340,12 @@
                     w.remove(hurt)
                     hurt = f"10.0.0.{names}"
                     w.add(hurt)
-            elif draw > 0.9 and not hurt:  # all power is gone, soon after a change was asked for
-                for ip in w.acting():
-                    order = w.machines[ip].order
-                    if order is not None:
+            elif draw > 0.9 and not hurt:  # all power is gone, soon after an entry was asked for
+                for ip in w.leaders():
+                    replica = w.machines[ip].replica
+                    if replica is not None:
                         generation += 1
-                        w.put(ip, order.settled.generation, generation)
+                        w.put(ip, replica.committed.generation, generation)
                 w.run(0.15 * w.rng.random())
                 for ip in list(w.machines):
                     w.kill(ip)
@@ -361,35 +361,35 @@
         for seed in range(25):
             with self.subTest(seed=seed):
                 w = self.day(seed)
-                self.assertEqual(len(w.acting()), 1)
-                self.assertTrue(w.reads(w.acting()[0]))
+                self.assertEqual(len(w.leaders()), 1)
+                self.assertTrue(w.reads(w.leaders()[0]))
                 self.assertTrue(linearizable(w.history))
                 acked += len(w.acked)
         self.assertGreater(acked, 200)
 
     def test_the_checks_find_what_is_broken(self) -> None:
-        """An order that promises before its disk has it, and one that takes over without what the others have."""
-
-        class Hasty(Order):
-            def save(self, accepted: Change | None, after: list[orders.Say]) -> None:
-                for say in after:
-                    if say.message.kind == orders.Kind.PROMISE and self.accepted is not None:
-                        say.message.change.CopyFrom(self.accepted)
-                    self.out.append(say)
-                super().save(accepted, [])
-
-        class Proud(Order):
-            def on_promise(self, now: float, m: Comb) -> None:
+        """An replica that votes before its disk has it, and one that takes over without what the others have."""
+
+        class Hasty(Replica):
+            def persist(self, accepted: LogEntry | None, after: list[orders.Send]) -> None:
+                for send in after:
+                    if send.message.kind == orders.Kind.VOTE_REPLY and self.accepted is not None:
+                        send.message.entry.CopyFrom(self.accepted)
+                    self.out.append(send)
+                super().persist(accepted, [])
+
+        class Proud(Replica):
+            def on_vote_reply(self, now: float, m: ConsensusMessage) -> None:
                 if m.disk != self.me.disk:  # goes on from what it has itself
-                    m.ClearField("change")
-                    m.ClearField("settled")
-                super().on_promise(now, m)
+                    m.ClearField("entry")
+                    m.ClearField("committed")
+                super().on_vote_reply(now, m)
 
         for kind in (Hasty, Proud):
             with self.subTest(kind=kind.__name__):
                 self.assertTrue(any(self.breaks(seed, kind) for seed in range(60)))
 
-    def breaks(self, seed: int, kind: type[Order]) -> bool:
+    def breaks(self, seed: int, kind: type[Replica]) -> bool:
         try:
             self.day(seed, kind)
         except AssertionError:
@@ -398,7 +398,7 @@
 
 
 class Histories(unittest.TestCase):
-    """The judge of histories: what is told in one order and what isn't."""
+    """The judge of histories: what is told in one replica and what isn't."""
 
     def put(self, began: float, ended: float, base: int, generation: int, told: Told = Told.DONE) -> Call:
         return Call(began, ended, "put", generation, base, told)
@@ -410,7 +410,7 @@
         put, get = self.put, self.get
         cases: list[tuple[str, list[Call], bool]] = [
             ("one after another", [put(0, 1, 0, 1), put(2, 3, 1, 2), get(4, 5, 2)], True),
-            ("a read beside a change", [put(0, 3, 0, 1), get(1, 2, 0), get(1, 2, 1)], True),
+            ("a read beside an entry", [put(0, 3, 0, 1), get(1, 2, 0), get(1, 2, 1)], True),
             ("a stale read", [put(0, 1, 0, 1), get(2, 3, 0)], False),
             ("reads that go back", [put(0, 9, 0, 1), get(1, 2, 1), get(3, 4, 0)], False),
             ("two winners", [put(0, 1, 0, 1), put(0, 1, 0, 2)], False),
@@ -428,31 +428,31 @@
                 self.assertEqual(linearizable(history), want)
 
     def test_reads_of_one_that_asks_nobody_are_found(self) -> None:
-        class Sure(Order):
+        class Sure(Replica):
             def get(self, now: float, call: int) -> None:
-                self.out.append(orders.Reply(call, 200 if self.settled.generation else 404, self.settled.text))
+                self.out.append(orders.Reply(call, 200 if self.committed.generation else 404, self.committed.text))
 
-        found = False
+        found_cluster = False
         for seed in range(20):
             w = World(seed, kind=Sure)
             w.run(2.0)
-            (ip,) = w.acting()
+            (ip,) = w.leaders()
             w.cut = {(a, b) for a in w.machines for b in w.machines if ip in (a, b) and a != b}
             for n in range(1, 100):
                 w.run(0.02)
-                for at in w.acting():
-                    order = w.machines[at].order
-                    if at != ip and order is not None:
-                        w.put(at, order.settled.generation, n)
+                for at in w.leaders():
+                    replica = w.machines[at].replica
+                    if at != ip and replica is not None:
+                        w.put(at, replica.committed.generation, n)
                     w.get(at)
-            found = found or not linearizable(w.history)
-        self.assertTrue(found)
+            found_cluster = found_cluster or not linearizable(w.history)
+        self.assertTrue(found_cluster)
 
 
 class Views(unittest.TestCase):
     @params((1, 0, 1), (1, 1, 1), (2, 1, 2), (3, 1, 2), (3, 2, 3), (4, 1, 3), (5, 1, 3), (5, 3, 4), (9, 2, 5))
     def test_disks_needed(self, count: int, losses: int, want: int) -> None:
-        self.assertEqual(needed(count, losses), want)
+        self.assertEqual(commit_quorum(count, losses), want)
         self.assertGreaterEqual(want, min(count, majority(count)))
 
     @params(
@@ -462,32 +462,41 @@
         ("one waits and another is dead", [("d", 4)], {"a": 9.9, "b": 5.0, "c": 9.9}, ["a", "d", "c"]),
         ("one is dead and nobody waits", [], {"a": 9.9, "b": 5.0, "c": 9.9}, None),
     )
-    def test_next_view(self, name: str, waiting: list[tuple[str, int]], heard: dict[str, float],
-                       want: list[str] | None) -> None:
-        seats = [Seat(disk=d, ip=f"10.0.0.{n}", port=1) for n, d in enumerate("abc", 1)]
-        newcomers = {d: (Seat(disk=d, ip=f"10.0.0.{n}", port=1), 9.5) for d, n in waiting}
-        view = next_view(Change(seats=seats, founded=3), "a", newcomers, heard, 10.0)
-        self.assertEqual(None if view is None else [s.disk for s in view], want, name)
+    def test_next_view(
+        self, name: str, waiting: list[tuple[str, int]], heard_at: dict[str, float], want: list[str] | None
+    ) -> None:
+        voters = [Voter(disk=d, ip=f"10.0.0.{n}", port=1) for n, d in enumerate("abc", 1)]
+        newcomers = {d: (Voter(disk=d, ip=f"10.0.0.{n}", port=1), 9.5) for d, n in waiting}
+        found = next_voters(LogEntry(voters=voters, founding_size=3), "a", newcomers, heard_at, 10.0)
+        self.assertEqual(None if found is None else [s.disk for s in found], want, name)
 
 
 class Phases(unittest.TestCase):
     def test_what_is_not_saved_is_not_promised(self) -> None:
         w = up()
-        (ip,) = w.acting()
+        (ip,) = w.leaders()
         other = next(m for o, m in w.machines.items() if o != ip)
-        order = other.order
-        assert order is not None
-        order.out.clear()
-        change = Change(epoch=order.vow.epoch, number=9, seats=order.settled.seats)
-        order.hear(w.now, Comb(kind=orders.Kind.PROPOSE, disk=order.vow.disk, epoch=order.vow.epoch, change=change,
-                               seat=order.settled.seats[0]))
-        (save,) = [a for a in order.out if isinstance(a, orders.Save)]
-        order.out.clear()
-        order.saved(w.now, save.token, False)
-        (said,) = [a.message for a in order.out if isinstance(a, orders.Say)]
-        self.assertFalse(said.yes)
-        self.assertNotEqual(order.accepted.number if order.accepted is not None else 0, 9)
-        self.assertIs(order.phase, Phase.FOLLOWS)
+        replica = other.replica
+        assert replica is not None
+        replica.out.clear()
+        entry = LogEntry(term=replica.vote.term, number=9, voters=replica.committed.voters)
+        replica.receive(
+            w.now,
+            ConsensusMessage(
+                kind=orders.Kind.APPEND,
+                disk=replica.vote.disk,
+                term=replica.vote.term,
+                entry=entry,
+                voter=replica.committed.voters[0],
+            ),
+        )
+        (persist,) = [a for a in replica.out if isinstance(a, orders.Persist)]
+        replica.out.clear()
+        replica.persisted(w.now, persist.token, False)
+        (said,) = [a.message for a in replica.out if isinstance(a, orders.Send)]
+        self.assertFalse(said.granted)
+        self.assertNotEqual(replica.accepted.number if replica.accepted is not None else 0, 9)
+        self.assertIs(replica.role, ReplicaRole.FOLLOWER)
 
 
 if __name__ == "__main__":
--- a/tests/colony/test_forage.py
+++ b/tests/mesh/test_dataplane.py
@@ -5,25 +5,28 @@
 import random
 import unittest
 
-from colony.cases import params
-from zinclever.hive.forage.queue import Queue, Waiting
-from zinclever.hive.forage.returning import Returning
-from zinclever.hive.forage.thrift import Thrift
-from zinclever.hive.verdict import Verdict
+from mesh.cases import params
+from zinclever.mesh.dataplane.queue import Queue, Waiting
+from zinclever.mesh.dataplane.retry_budget import RetryBudget
+from zinclever.mesh.dataplane.returning import Returning
+from zinclever.mesh.verdict import Verdict
 
 
-def waiting(since: float = 0.0, aim: float = 0.6, left: float = 1.5, priority: int = 1, inner: bool = False,
-            copy: bool = False) -> Waiting:
+def waiting(
+    since: float = 0.0, aim: float = 0.6, left: float = 1.5, priority: int = 1, inner: bool = False, copy: bool = False
+) -> Waiting:
     return Waiting(since, left, aim, priority, inner, copy)
 
 
 class Turns(unittest.TestCase):
     @params(
-        ("room", 3, 0, {}, True), ("full, a short wait", 4, 0, {}, True), ("full, a long wait", 4, 8, {}, False),
-        ("an inner call waits for longer", 4, 8, {"inner": True}, True), ("a copy on an idle slot", 1, 0,
-                                                                         {"copy": True}, True),
-        ("a copy where it is busy", 3, 0, {"copy": True}, False), ("little of its aim is left", 4, 2,
-                                                                   {"aim": 0.05}, False),
+        ("room", 3, 0, {}, True),
+        ("full, a short wait", 4, 0, {}, True),
+        ("full, a long wait", 4, 8, {}, False),
+        ("an inner call waits for longer", 4, 8, {"inner": True}, True),
+        ("a copy on an idle slot", 1, 0, {"copy": True}, True),
+        ("a copy where it is busy", 3, 0, {"copy": True}, False),
+        ("little of its aim is left", 4, 2, {"aim": 0.05}, False),
         ("a higher rank passes those that wait", 4, 8, {"priority": 0}, True),
     )
     def test_admits(self, name: str, busy: int, queued: int, told: dict[str, bool], want: bool) -> None:
@@ -36,8 +39,12 @@
 
     def test_order_of_turns(self) -> None:
         q = Queue(1)
-        late, low, high, inner = waiting(-1.0), waiting(0.1, priority=2), waiting(0.2, priority=0), waiting(
-            0.3, priority=9, inner=True)
+        late, low, high, inner = (
+            waiting(-1.0),
+            waiting(0.1, priority=2),
+            waiting(0.2, priority=0),
+            waiting(0.3, priority=9, inner=True),
+        )
         for w in (late, low, high, inner):
             q.add(w)
         seen = []
@@ -70,8 +77,11 @@
         ("first tries alone", [1.5, 1.499, 1.5], [0.0, 0.0, 0.0]),
         ("one that comes again", [1.5, 1.5, 1.35, 1.5], [0.0, 0.0, 0.15, 0.0]),
         ("half of them come again", [1.5, 1.4, 1.5, 1.41, 1.5, 1.3], [0.0, 0.1, 0.0, 0.09, 0.0, 0.2]),
-        ("calls that end with their parents'", [0.5, 0.41, 0.33, 0.47, 0.29, 0.11, 0.38],
-         [0.0, 0.09, 0.17, 0.0, 0.0, 0.0, 0.0]),
+        (
+            "calls that end with their parents'",
+            [0.5, 0.41, 0.33, 0.47, 0.29, 0.11, 0.38],
+            [0.0, 0.09, 0.17, 0.0, 0.0, 0.0, 0.0],
+        ),
         ("the first that is seen came again", [1.2, 1.5, 1.5, 1.2], [0.0, 0.0, 0.0, 0.3]),
     )
     def test_used(self, name: str, times: list[float], want: list[float]) -> None:
@@ -99,7 +109,7 @@
         rng = random.Random(sidecars)
         asked: list[float] = []
         further: list[float] = []
-        parts = [Thrift(self.RATIO, self.WINDOW, self.SLACK) for _ in range(sidecars)]
+        parts = [RetryBudget(self.RATIO, self.WINDOW, self.SLACK) for _ in range(sidecars)]
         for part in parts:
             part.sidecars = sidecars
         now = 0.0
@@ -108,7 +118,7 @@
             if 20.0 < now < 23.0 and rng.random() < 0.97:
                 continue  # hardly anything is asked
             if rng.random() < 0.001:  # one is started anew, and knows nothing of what it spent
-                parts[rng.randrange(sidecars)] = made = Thrift(self.RATIO, self.WINDOW, self.SLACK)
+                parts[rng.randrange(sidecars)] = made = RetryBudget(self.RATIO, self.WINDOW, self.SLACK)
                 made.sidecars = sidecars
             part = parts[int(rng.random() ** 2 * sidecars)]
             part.ask(now)
@@ -126,7 +136,7 @@
             self.assertLessEqual(used, self.RATIO * most + self.SLACK)
 
     def test_what_reached_nobody_is_given_back(self) -> None:
-        part = Thrift(0.2, 10.0, 0.0)
+        part = RetryBudget(0.2, 10.0, 0.0)
         for n in range(100):
             part.ask(n * 0.01)
         while part.may(1.0):
--- a/tests/colony/test_swarm.py
+++ b/tests/mesh/test_gossip.py
@@ -5,11 +5,11 @@
 import random
 import unittest
 
-from colony.cases import params
-from zinclever.hive.dance.hive_pb2 import Bee, Cell, Record, Waggle
-from zinclever.hive.model.field import Field, endpoint
-from zinclever.hive.swarm.records import BEE, FADES, FORGOTTEN, Records
-from zinclever.hive.swarm.swarm import Standing, Swarm
+from mesh.cases import params
+from zinclever.mesh.membership.gossip import Gossip, Standing
+from zinclever.mesh.membership.records import FADES, FORGOTTEN, NODE, Records
+from zinclever.mesh.model.field import Field, endpoint
+from zinclever.mesh.transport.mesh_pb2 import EndpointInfo, GossipMessage, NodeInfo, Record
 
 DRAIN_WITHIN = 2.0  # s, by the rules
 
@@ -43,7 +43,7 @@
         """What 70 send each as all come up at once: links may be slow."""
         f = Field(70)
         f.run(6.0)
-        self.assertEqual({len(s.peers()) for s in f.swarms.values()}, {69})
+        self.assertEqual({len(s.peers()) for s in f.gossips.values()}, {69})
         self.assertLess(f.bytes / 70, 70_000)
 
     def test_at_rest_a_root_is_enough(self) -> None:
@@ -55,29 +55,29 @@
 
     def test_versions_of_before_and_after_meet(self) -> None:
         f = Field(12)
-        for n, s in enumerate(f.swarms.values()):
+        for n, s in enumerate(f.gossips.values()):
             if n % 2:  # understands no roots, and sends none
-                mine = s.records.held[(BEE, s.me)]
-                body = Bee.FromString(mine.body)
+                mine = s.records.held[(NODE, s.me)]
+                body = NodeInfo.FromString(mine.body)
                 body.speaks = 0
                 mine.body = body.SerializeToString()
         f.run(5.0)
-        f.swarms["b3"].hot.clear()
-        f.swarms["b3"].records.put(f.now, endpoint("quiet"))  # told to nobody: digests bring it
+        f.gossips["b3"].hot.clear()
+        f.gossips["b3"].records.put(f.now, endpoint("quiet"))  # told to nobody: digests bring it
         f.run(6.0)
         self.assertEqual(f.knowing(endpoint("quiet")), 12)
 
     def test_one_that_knows_the_same_has_met(self) -> None:
         f = met(2)
-        s, other = f.swarms["b0"], f.swarms["b1"]
+        s, other = f.gossips["b0"], f.gossips["b1"]
         for root, want in ((other.records.root() ^ 1, False), (other.records.root(), True)):
             s.met = False
-            s.hear(f.now, Waggle(sender="b1", life=1, root=root), f.address("b1"))
+            s.hear(f.now, GossipMessage(sender="b1", life=1, root=root), f.address("b1"))
             self.assertIs(s.met, want)
 
     def test_what_has_a_bound_goes_before_the_rate_allows_it(self) -> None:
         f = met(20)
-        for s in f.swarms.values():
+        for s in f.gossips.values():
             s.rate = s.credit = 0.0
         drain, beat = endpoint("e1", rank=1), endpoint("e2")
         f.tell("b3", beat)
@@ -96,10 +96,10 @@
             f.tell(left[0], endpoint(f"l{n}"))
             f.tell(right[0], endpoint(f"r{n}"))
         f.run(30.0)  # each side takes the other for dead by now
-        self.assertEqual(f.swarms[left[0]].standing(right[0]), Standing.DEAD)
+        self.assertEqual(f.gossips[left[0]].standing(right[0]), Standing.DEAD)
         f.cut.clear()
         f.run(8.0)
-        for s in f.swarms.values():
+        for s in f.gossips.values():
             self.assertEqual([s.standing(n) for n in f.names], [Standing.LIVE] * 16)
             for n in range(5):
                 self.assertIsNotNone(s.records.get(2, f"l{n}"))
@@ -112,8 +112,9 @@
         ("another life is newer", [(9, 2, 0), (1, 0, 1)], (1, 0, 1)),
         ("an earlier life is older", [(1, 0, 1), (9, 2, 0)], (1, 0, 1)),
     )
-    def test_order_of_an_endpoints_news(self, name: str, told: list[tuple[int, int, int]],
-                                        want: tuple[int, int, int]) -> None:
+    def test_order_of_an_endpoints_news(
+        self, name: str, told: list[tuple[int, int, int]], want: tuple[int, int, int]
+    ) -> None:
         records = Records()
         for seq, rank, life in told:
             records.put(0.0, endpoint(seq=seq, rank=rank, life=life))
@@ -146,28 +147,28 @@
 class EachOther(unittest.TestCase):
     def test_a_death_is_known_to_all(self) -> None:
         f = met(15)
-        del f.swarms["b9"]
+        del f.gossips["b9"]
         f.run(8.0)
-        self.assertEqual({s.standing("b9") for s in f.swarms.values()}, {Standing.DEAD})
+        self.assertEqual({s.standing("b9") for s in f.gossips.values()}, {Standing.DEAD})
 
     def test_who_says_so_and_why(self) -> None:
         f = met(15)
-        del f.swarms["b9"]
-        while f.swarms["b1"].standing("b9") is not Standing.SUSPECT:
+        del f.gossips["b9"]
+        while f.gossips["b1"].standing("b9") is not Standing.SUSPECT:
             f.run(0.1)
-        bee = f.swarms["b1"].bee("b9")
-        assert bee is not None
-        self.assertIn(bee.by, f.names)
-        self.assertIn("nor through", bee.why)
+        info = f.gossips["b1"].node_info("b9")
+        assert info is not None
+        self.assertIn(info.by, f.names)
+        self.assertIn("nor through", info.why)
         f.run(5.0)
-        bee = f.swarms["b1"].bee("b9")
-        assert bee is not None
-        self.assertIn("and said nothing (by b", bee.why)
+        info = f.gossips["b1"].node_info("b9")
+        assert info is not None
+        self.assertIn("and said nothing (by b", info.why)
         f.add("b9", life=2)
         f.run(5.0)
-        bee = f.swarms["b1"].bee("b9")
-        assert bee is not None
-        self.assertEqual(bee.why, "")
+        info = f.gossips["b1"].node_info("b9")
+        assert info is not None
+        self.assertEqual(info.why, "")
 
     def test_a_tenth_frozen_for_ten_seconds(self) -> None:
         f = met(30)
@@ -180,7 +181,7 @@
             f.thaw(name)
         f.run(5.0)
         self.assertEqual([d for d in f.deaths if d[2] not in frozen], [])  # they doubt themselves first
-        for s in f.swarms.values():
+        for s in f.gossips.values():
             self.assertEqual({s.standing(n) for n in f.names}, {Standing.LIVE})
 
     def test_a_zone_cut_from_a_zone_removes_nobody(self) -> None:
@@ -209,7 +210,7 @@
         """Its own link is crowded: the others answer, and it hears of it late. It waits for longer, and takes fewer
         for dead than it would."""
         f = met(15)
-        s = f.swarms["b4"]
+        s = f.gossips["b4"]
         f.cut = {(n, "b4") for n in f.names if n != "b4"}
         f.run(4.0)
         self.assertGreater(s.doubts, 1)
@@ -225,45 +226,49 @@
         f.thaw("b4")
         f.run(6.0)
         self.assertEqual([d for d in f.deaths if d[1] == "b4"], [])
-        self.assertEqual({s.standing("b4") for s in f.swarms.values()}, {Standing.LIVE})
+        self.assertEqual({s.standing("b4") for s in f.gossips.values()}, {Standing.LIVE})
 
     def test_a_life_with_a_clock_set_back_is_believed(self) -> None:
         f = met(9)
-        del f.swarms["b5"]
+        del f.gossips["b5"]
         f.run(8.0)
         f.add("b5", life=0)  # its clock is an hour behind that of its earlier life
         f.run(6.0)
-        self.assertEqual({s.standing("b5") for s in f.swarms.values()}, {Standing.LIVE})
+        self.assertEqual({s.standing("b5") for s in f.gossips.values()}, {Standing.LIVE})
 
     def test_half_killed_at_once(self) -> None:
         f = met(20)
         for n in f.names[10:]:
-            del f.swarms[n]
+            del f.gossips[n]
         f.run(15.0)
-        for s in f.swarms.values():
+        for s in f.gossips.values():
             self.assertEqual(set(s.peers()) | {s.me}, set(f.names[:10]))
 
     def test_all_at_once_from_nothing(self) -> None:
         f = Field(50)
         f.run(4.0)
-        self.assertEqual({len(s.peers()) for s in f.swarms.values()}, {49})
+        self.assertEqual({len(s.peers()) for s in f.gossips.values()}, {49})
 
 
 class Messages(unittest.TestCase):
     def test_every_datagram_is_bounded(self) -> None:
         f = met(50)
         for n in range(100):
-            f.tell("b1", Record(kind=2, id=f"e{n}", seq=1, body=Cell(service="x" * 150).SerializeToString()))
+            f.tell("b1", Record(kind=2, id=f"e{n}", seq=1, body=EndpointInfo(service="x" * 150).SerializeToString()))
         f.run(3.0)
         self.assertLess(f.longest, 2000)
 
-    @params(b"", b"\x0a\x00", Waggle(sender="b1", sums=[]).SerializeToString(),
-            Waggle(sender="x", life=1, ranges=[9999], news=[Record(kind=7, id="?")]).SerializeToString(),
-            Waggle(sender="x", news=[Record(kind=BEE, id="b9", life=9, body=b"\xff\xff")]).SerializeToString())
+    @params(
+        b"",
+        b"\x0a\x00",
+        GossipMessage(sender="b1", sums=[]).SerializeToString(),
+        GossipMessage(sender="x", life=1, ranges=[9999], news=[Record(kind=7, id="?")]).SerializeToString(),
+        GossipMessage(sender="x", news=[Record(kind=NODE, id="b9", life=9, body=b"\xff\xff")]).SerializeToString(),
+    )
     def test_foreign_messages_do_no_harm(self, data: bytes) -> None:
         f = met(3)
-        s = f.swarms["b0"]
-        s.hear(f.now, Waggle.FromString(data), ("10.9.9.9", 9))
+        s = f.gossips["b0"]
+        s.hear(f.now, GossipMessage.FromString(data), ("10.9.9.9", 9))
         f.run(2.0)
         self.assertEqual(len(s.peers()), 2)
         self.assertNotIn("x", s.heard)
@@ -271,31 +276,33 @@
     def test_receipts_are_asked_for_until_they_come(self) -> None:
         f = met(4)
         f.cut = {("b0", "b1")}
-        number = f.swarms["b0"].tell_surely(f.now, endpoint(rank=1), ["b1", "b2"])
+        number = f.gossips["b0"].tell_surely(f.now, endpoint(rank=1), ["b1", "b2"])
         f.flush("b0")
         f.run(0.5)
-        self.assertEqual(f.swarms["b0"].receipts[number].received, {"b2"})
+        self.assertEqual(f.gossips["b0"].receipts[number].received, {"b2"})
         f.cut.clear()
         f.run(0.5)
-        self.assertEqual(f.swarms["b0"].receipts[number].received, {"b1", "b2"})
+        self.assertEqual(f.gossips["b0"].receipts[number].received, {"b1", "b2"})
 
     def test_a_drain_holds_though_its_teller_loses_power_at_once(self) -> None:
         """Acknowledged once two others have it: everybody knows of it within the bound."""
         f = met(30, loss=0.05)
         for n in range(5):
             teller, drain = f.names[n], endpoint(f"e{n}", rank=1)
-            number = f.swarms[teller].tell_surely(f.now, drain, f.names[10:13])
+            number = f.gossips[teller].tell_surely(f.now, drain, f.names[10:13])
             f.flush(teller)
-            receipt = f.swarms[teller].receipts[number]
+            receipt = f.gossips[teller].receipts[number]
             while len(receipt.received) < 2:
                 f.run(0.005)
-            del f.swarms[teller]
+            del f.gossips[teller]
             self.assertLess(f.until_all_know(drain), DRAIN_WITHIN)
 
     def test_refutes_what_is_said_of_it(self) -> None:
-        s = Swarm("me", 5, Bee(ip="10.0.0.1", port=7), [], 0.0, random.Random(1))
-        s.hear(0.1, Waggle(sender="b2", news=[Record(kind=BEE, id="me", life=5, seq=1, rank=2)]), ("10.0.0.2", 7))
-        mine = s.records.held[(BEE, "me")]
+        s = Gossip("me", 5, NodeInfo(ip="10.0.0.1", port=7), [], 0.0, random.Random(1))
+        s.hear(
+            0.1, GossipMessage(sender="b2", news=[Record(kind=NODE, id="me", life=5, seq=1, rank=2)]), ("10.0.0.2", 7)
+        )
+        mine = s.records.held[(NODE, "me")]
         self.assertEqual((mine.life, mine.seq, mine.rank), (5, 2, 0))
 
 
--- a/tests/colony/test_links.py
+++ b/tests/mesh/test_links.py
@@ -6,10 +6,10 @@
 import unittest
 from typing import Any
 
-from colony.mesh import run, until
-from zinclever.hive.dance import links
-from zinclever.hive.dance.hive_pb2 import Fetch, Frame
-from zinclever.hive.dance.links import Line, Link
+from mesh.cluster import run, until
+from zinclever.mesh.transport import links
+from zinclever.mesh.transport.links import Line, Link
+from zinclever.mesh.transport.mesh_pb2 import Fetch, Frame
 
 HOST = "127.77.201.1"
 
@@ -85,6 +85,7 @@
 
     def test_after_a_standstill_of_its_own_nothing_is_given_up(self) -> None:
         """The look comes late, and what has come meanwhile isn't read yet."""
+
         async def test() -> None:
             async with Ends() as e:
                 e.holds = True
--- a/tests/colony/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -10,19 +10,19 @@
 from typing import Any
 from unittest import mock
 
-from colony.cases import params
-from colony.mesh import Mesh, Plan, away, config, good, run, until
-from zinclever.hive import cli
-from zinclever.hive.comb.store import read_folder
-from zinclever.hive.dance.hive_pb2 import Load, Yield
-from zinclever.hive.dance.links import Line, Link
-from zinclever.hive.errors import HiveError
-from zinclever.hive.forage.admission import Open
-from zinclever.hive.forage.keeper import Keeper
-from zinclever.hive.roles import forager
-from zinclever.hive.roles.forager import Forager, Incoming
-from zinclever.hive.scout import asking
-from zinclever.hive.verdict import Verdict
+from mesh.cases import params
+from mesh.cluster import Mesh, Plan, away, config, good, run, until
+from zinclever.mesh import cli
+from zinclever.mesh.consensus.store import read_folder
+from zinclever.mesh.dataplane.admission import Open
+from zinclever.mesh.dataplane.keeper import Keeper
+from zinclever.mesh.errors import MeshError
+from zinclever.mesh.operator_cli import asking
+from zinclever.mesh.roles import sidecar
+from zinclever.mesh.roles.sidecar import Incoming, Sidecar
+from zinclever.mesh.transport.links import Line, Link
+from zinclever.mesh.transport.mesh_pb2 import ForwardReply, ForwardRequest
+from zinclever.mesh.verdict import Verdict
 
 
 def other_id(headers: dict[str, str]) -> bytes:
@@ -61,7 +61,8 @@
     """What an endpoint does, what the client gets, how often it ran."""
 
     @params(
-        ("good", good, "unsafe", 200, 1), ("good", good, "safe", 200, 1),
+        ("good", good, "unsafe", 200, 1),
+        ("good", good, "safe", 200, 1),
         ("an answer to another request", other_id, "unsafe", 502, 1),
         ("a surplus answer behind", surplus, "unsafe", 200, 1),
         ("without the seal", no_seal, "unsafe", 502, 1),
@@ -93,9 +94,17 @@
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
                 body = bytes(range(256)) * 1200  # in several pieces over the hop
-                got, _, _ = await m.ask("/one/unsafe/x?a=%20b&c", "PUT", 1, body, X_Caller_Service="forged",
-                                        X_Expected_Endpoint="forged", X_Other="kept", Connection="X-Hop",
-                                        X_Hop="dropped")
+                got, _, _ = await m.ask(
+                    "/one/unsafe/x?a=%20b&c",
+                    "PUT",
+                    1,
+                    body,
+                    X_Caller_Service="forged",
+                    X_Expected_Endpoint="forged",
+                    X_Other="kept",
+                    Connection="X-Hop",
+                    X_Hop="dropped",
+                )
                 self.assertEqual(got, 200)
                 start, headers, came = m.apps[0].seen[0]
                 self.assertEqual(start, "PUT /one/unsafe/x?a=%20b&c HTTP/1.1")
@@ -117,8 +126,13 @@
 
         run(test)
 
-    @params(("/one/safe/x", {}, 200), ("/none/", {}, 404), ("/one/", {}, 404), ("/one/safe/x", {"Host": "b"}, 404),
-            ("/one/safe/x", {"X_Attempt_Id": ""}, 400))
+    @params(
+        ("/one/safe/x", {}, 200),
+        ("/none/", {}, 404),
+        ("/one/", {}, 404),
+        ("/one/safe/x", {"Host": "b"}, 404),
+        ("/one/safe/x", {"X_Attempt_Id": ""}, 400),
+    )
     def test_routes(self, path: str, headers: dict[str, Any], status: int) -> None:
         async def test() -> None:
             async with Mesh(["one"]) as m:
@@ -130,11 +144,18 @@
 
 class TwoEndpoints(unittest.TestCase):
     @params(
-        ("safe", silence, 200, 2), ("unsafe", silence, 502, 1), ("safe", failed, 200, 2), ("unsafe", failed, 500, 1),
-        ("safe", away, 200, 2), ("unsafe", away, 200, 2), ("unsafe", other_id, 502, 1), ("safe", other_id, 200, 2),
+        ("safe", silence, 200, 2),
+        ("unsafe", silence, 502, 1),
+        ("safe", failed, 200, 2),
+        ("unsafe", failed, 500, 1),
+        ("safe", away, 200, 2),
+        ("unsafe", away, 200, 2),
+        ("unsafe", other_id, 502, 1),
+        ("safe", other_id, 200, 2),
     )
     def test_goes_on_only_where_it_may(self, kind: str, first: Plan, status: int, seen: int) -> None:
         """The first that has it does harm, the other is well."""
+
         async def test() -> None:
             had: list[str] = []
 
@@ -155,10 +176,11 @@
 class Returned(unittest.TestCase):
     def test_one_that_was_refused_before_waits_for_nobody(self) -> None:
         """At a keeper whose turns are all taken for a moment a first try waits, a further one is told at once."""
+
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
-                queue = m.foragers[0].keeper.queue
+                queue = m.sidecars[0].keeper.queue
                 queue.mean, queue.busy = 0.05, queue.slots
                 first = asyncio.ensure_future(m.ask("/one/unsafe/x", "POST", 1))
                 await until(lambda: queue.waiting)
@@ -166,7 +188,7 @@
                 self.assertEqual((got, len(queue.waiting)), (503, 1))
                 self.assertGreater(float(headers["retry-after"]), 0.1)
                 queue.busy = 0
-                m.foragers[0].keeper.move()
+                m.sidecars[0].keeper.move()
                 self.assertEqual((await first)[0], 200)
 
         run(test)
@@ -176,10 +198,11 @@
     @params("safe", "unsafe")
     def test_an_idle_connection_that_the_endpoint_has_forgotten(self, kind: str) -> None:
         """Its reset comes before the last byte goes out: the request goes on at once on another connection."""
+
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
-                app, keeper = m.apps[0], m.foragers[0].keeper
+                app, keeper = m.apps[0], m.sidecars[0].keeper
                 for at in (0, 1, 0, 1):
                     self.assertEqual((await m.ask(f"/one/{kind}/x", "POST", at, b"body"))[0], 200)
                     app.forgotten |= app.writers
@@ -200,24 +223,25 @@
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
-                m.foragers[0].keeper.queue.busy = 400
+                m.sidecars[0].keeper.queue.busy = 400
                 with mock.patch.object(Line, "more", autospec=True) as sent:
                     got, headers, _ = await m.ask("/one/unsafe/x", "POST", 1, self.BODY)
                 self.assertEqual((got, m.runs(), sent.call_count), (503, 0, 0))
                 self.assertGreater(float(headers["retry-after"]), 0.0)
-                self.assertFalse(m.foragers[0].incoming)
+                self.assertFalse(m.sidecars[0].incoming)
 
         run(test)
 
     @params(("before it may come", "on_load", 200, 1), ("behind its last byte", "hand_in", 502, 0))
     def test_the_link_is_lost(self, name: str, at: str, status: int, ran: int) -> None:
         """An unsafe request goes on to the other endpoint only where it can't have run at the first."""
+
         async def test() -> None:
             async with Mesh(["one", "one", "two"]) as m:
                 await m.serve()
                 lost: list[Link] = []
 
-                def lose(self: Forager, *told: Any) -> None:
+                def lose(self: Sidecar, *told: Any) -> None:
                     """The first link that has come so far ends; all others go on."""
                     link = told[0] if at == "on_load" else told[1].link
                     if lost:
@@ -226,10 +250,10 @@
                         lost.append(link)
                         link.end()
 
-                whole = getattr(Forager, at)
-                with mock.patch.object(Forager, at, lose):
-                    for f in m.foragers:  # handlers are bound at the start
-                        f.colony.frames["load"] = f.on_load
+                whole = getattr(Sidecar, at)
+                with mock.patch.object(Sidecar, at, lose):
+                    for f in m.sidecars:  # handlers are bound at the start
+                        f.node.frames["load"] = f.on_load
                     got, _, _ = await m.ask("/one/unsafe/x", "POST", 2, self.BODY)
                 self.assertEqual((got, m.runs()), (status, ran))
 
@@ -239,8 +263,8 @@
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
-                keeping = m.foragers[0]
-                coming = Load(endpoint=m.apps[0].id, length=60 << 20, knocks=True, left_ms=1000)
+                keeping = m.sidecars[0]
+                coming = ForwardRequest(endpoint=m.apps[0].id, length=60 << 20, knocks=True, left_ms=1000)
                 keeping.incoming[(mock.Mock(), 1)] = Incoming(mock.Mock(), coming, 0.0)
                 self.assertEqual((await m.ask("/one/unsafe/x", "POST", 1, b"b" * (8 << 20)))[0], 503)
                 self.assertEqual((await m.ask("/one/unsafe/x", "POST", 1, self.BODY))[0], 200)
@@ -251,7 +275,7 @@
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
-                with mock.patch.dict(m.foragers[1].colony.speaks, {(m.ips[0], m.port): 0}):
+                with mock.patch.dict(m.sidecars[1].node.speaks, {(m.ips[0], m.port): 0}):
                     for size in (5, 4000, 300_000):
                         with mock.patch.object(Keeper, "has_room", side_effect=AssertionError):
                             self.assertEqual((await m.ask("/one/unsafe/x", "POST", 1, b"b" * size))[0], 200)
@@ -271,7 +295,7 @@
                 self.assertEqual(len(m.apps[0].seen), 0)
                 m.apps[0].seq = 0
                 self.assertEqual(await m.beat(0), 200)  # a late beat
-                self.assertFalse(m.foragers[0].keeper.open)
+                self.assertFalse(m.sidecars[0].keeper.open)
 
         run(test)
 
@@ -280,10 +304,11 @@
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
                 app = m.apps[0]
-                status, _, _ = await m.call(f"{m.core}:{m.port + 2}", "POST",
-                                            f"/v1/endpoints/{app.id}/heartbeat", app.beat("draining"))
+                status, _, _ = await m.call(
+                    f"{m.core}:{m.port + 2}", "POST", f"/v1/endpoints/{app.id}/heartbeat", app.beat("draining")
+                )
                 self.assertEqual(status, 200)
-                self.assertFalse(m.foragers[0].keeper.open)  # its keeper knew before it was acknowledged
+                self.assertFalse(m.sidecars[0].keeper.open)  # its keeper knew before it was acknowledged
 
         run(test)
 
@@ -291,11 +316,11 @@
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
-                app, ending = m.apps[0], m.foragers[1]
+                app, ending = m.apps[0], m.sidecars[1]
                 app.hold = asyncio.Event()
                 asked = asyncio.ensure_future(m.ask("/one/unsafe/x", "POST", 1, b"body"))
                 await until(lambda: app.seen)
-                with mock.patch.object(forager, "SERVES_ON", 0.05):
+                with mock.patch.object(sidecar, "SERVES_ON", 0.05):
                     stopped = asyncio.ensure_future(ending.stop(6.0))
                     await until(lambda: ending.ending)
                     ready = await m.call(f"{m.ips[1]}:{m.port + 3}", "GET", "/v1/ready")
@@ -309,14 +334,17 @@
 
     def test_a_request_for_another_life_goes_nowhere(self) -> None:
         """Its address may be another service's by now."""
+
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
                 m.apps[0].id = "i-next"  # another life at the same address
                 self.assertEqual(await m.beat(0), 200)
-                told: list[Yield] = []
-                load = Load(endpoint=f"i-{m.apps[0].address}", head=b"GET / HTTP/1.1\r\n", id="r", left_ms=1000)
-                m.foragers[0].keeper.offer(load, b"", told.append)
+                told: list[ForwardReply] = []
+                load = ForwardRequest(
+                    endpoint=f"i-{m.apps[0].address}", head=b"GET / HTTP/1.1\r\n", id="r", left_ms=1000
+                )
+                m.sidecars[0].keeper.offer(load, b"", told.append)
                 self.assertEqual([y.verdict for y in told], [Verdict.NEVER])
                 self.assertEqual(m.apps[0].seen, [])
 
@@ -324,20 +352,29 @@
 
     def test_settings_that_change(self) -> None:
         """On SIGHUP, and without one; what can't be used changes nothing."""
+
         async def test() -> None:
             async with Mesh(["one"]) as m:
-                role, path = m.foragers[0], Path(m.folder.name) / "boot.json"
+                role, path = m.sidecars[0], Path(m.folder.name) / "boot.json"
                 watch = cli.Watch(role, role.boot)
-                told = {"NodeName": "n", "Role": "r", "Ip": m.ips[0], "Zone": "z", "Serves": [], "Bind": {},
-                        "EphemeralPorts": [m.port, m.port + 1], "SeedNodes": ["127.0.0.9:5"]}
-                before = list(role.colony.swarm.seeds)
+                told = {
+                    "NodeName": "n",
+                    "Role": "r",
+                    "Ip": m.ips[0],
+                    "Zone": "z",
+                    "Serves": [],
+                    "Bind": {},
+                    "EphemeralPorts": [m.port, m.port + 1],
+                    "SeedNodes": ["127.0.0.9:5"],
+                }
+                before = list(role.node.gossip.seeds)
                 with mock.patch.dict(os.environ, {"ZINCLEVER_BOOT": str(path)}):
                     path.write_text("{")
                     watch.look()
-                    self.assertEqual(role.colony.swarm.seeds, before)
+                    self.assertEqual(role.node.gossip.seeds, before)
                     path.write_text(json.dumps(told))
                     watch.look()
-                    self.assertEqual(role.colony.swarm.seeds, [("127.0.0.9", m.port + 1)])
+                    self.assertEqual(role.node.gossip.seeds, [("127.0.0.9", m.port + 1)])
 
         run(test)
 
@@ -345,13 +382,13 @@
         async def test() -> None:
             async with Mesh(["one"]) as m:
                 await m.serve()
-                ledger = m.foragers[0].flights.to("one").ledger
+                ledger = m.sidecars[0].flights.to("one").ledger
                 ledger.settle(True)  # what it does after standing still for a second
                 self.assertIsInstance(ledger.balancer.admission, Open)
                 told = config("one", generation=2)
                 told["Routes"]["one-safe"]["DeadlineS"] = 2.5  # a class that there was not
                 self.assertEqual((await m.put(told, 1))[0], 200)
-                await until(lambda: m.foragers[0].colony.pantry.generation == 2)
+                await until(lambda: m.sidecars[0].node.active.generation == 2)
                 self.assertEqual((await m.ask("/one/safe/x"))[0], 200)
 
         run(test)
@@ -361,16 +398,17 @@
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
                 app = m.apps[0]
-                for f in m.foragers:  # as after a start of all: nobody knows the endpoint, nor who keeps it
-                    f.colony.swarm.records.held.pop((2, app.id))
+                for f in m.sidecars:  # as after a start of all: nobody knows the endpoint, nor who keeps it
+                    f.node.gossip.records.held.pop((2, app.id))
                 body = app.beat()
-                record = m.comb.colony.swarm.records
+                record = m.control.node.gossip.records
                 record.held.pop((2, app.id))
-                m.comb.keeper_of = lambda address: ""  # type: ignore[method-assign]
+                m.control.keeper_of = lambda address: ""  # type: ignore[method-assign]
                 await m.call(f"{m.core}:{m.port + 2}", "POST", f"/v1/endpoints/{app.id}/heartbeat", body)
                 self.assertEqual(await m.beat(0), 200)
-                await until(lambda: (r := record.get(2, app.id)) is not None
-                            and m.foragers[0].colony.name.encode() in r.body)
+                await until(
+                    lambda: (r := record.get(2, app.id)) is not None and m.sidecars[0].node.name.encode() in r.body
+                )
 
         run(test)
 
@@ -379,10 +417,9 @@
             async with Mesh(["one", "one", "two"]) as m:
                 await m.serve()
                 app = m.apps[0]
-                status, _, _ = await m.call(f"{m.ips[0]}:{m.port + 4}", "POST",
-                                            f"/v1/endpoints/{app.id}/departure")
+                status, _, _ = await m.call(f"{m.ips[0]}:{m.port + 4}", "POST", f"/v1/endpoints/{app.id}/departure")
                 self.assertEqual(status, 200)
-                await until(lambda: all(m.known(f) == 2 for f in m.foragers))
+                await until(lambda: all(m.known(f) == 2 for f in m.sidecars))
 
         run(test)
 
@@ -392,11 +429,11 @@
                 await m.serve()
                 await m.ask("/one/safe/x", at=1)
                 address = (m.ips[0], m.port)
-                line = m.foragers[1].colony.line(address)
+                line = m.sidecars[1].node.line(address)
                 line.calls[999] = lambda frame: None  # something is out on it
-                m.foragers[0].colony.swarm.leave(m.foragers[0].loop.time())
-                m.foragers[0].colony.ground.flush()
-                await until(lambda: (m.foragers[1].colony.swarm.standing(m.foragers[0].colony.name) or 0) > 1)
+                m.sidecars[0].node.gossip.leave(m.sidecars[0].loop.time())
+                m.sidecars[0].node.gossip_socket.flush()
+                await until(lambda: (m.sidecars[1].node.gossip.standing(m.sidecars[0].node.name) or 0) > 1)
                 self.assertIsNotNone(line.link)
 
         run(test)
@@ -413,15 +450,17 @@
                     (config("one", generation=1), 0, 200),  # the same again
                     (config("one", generation=2), 0, 412),
                     (config("one", generation=1), 1, 400),
-                    (bad, 1, 400), (b'{"Generation"', 1, 400),
-                    (config("one", generation=9), 1, 200), (config("one", generation=3), 1, 412),
+                    (bad, 1, 400),
+                    (b'{"Generation"', 1, 400),
+                    (config("one", generation=9), 1, 200),
+                    (config("one", generation=3), 1, 412),
                 ]
                 for told, base, want in cases:
                     self.assertEqual((await m.put(told, base))[0], want, (told, base))
                 status, _, text = await m.call(f"{m.core}:{m.port + 2}", "GET", "/v1/config/read")
                 self.assertEqual(status, 200)
                 self.assertIn(b'"Generation":9', text)
-                await until(lambda: m.foragers[0].colony.pantry.generation == 9)
+                await until(lambda: m.sidecars[0].node.active.generation == 9)
 
         run(test)
 
@@ -429,7 +468,7 @@
         async def test() -> None:
             async with Mesh(["one"]) as m:
                 await m.serve()
-                kept = m.comb.store.changes.load()
+                kept = m.control.store.changes.load()
                 assert kept is not None
                 self.assertIn(b'"Generation":1', kept[b"change"])
 
@@ -440,7 +479,7 @@
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
                 self.assertEqual((await m.put(config("two", generation=2), 1))[0], 200)
-                await until(lambda: all(f.colony.pantry.generation == 2 for f in m.foragers))
+                await until(lambda: all(f.node.active.generation == 2 for f in m.sidecars))
                 self.assertEqual((await m.ask("/one/safe/x"))[0], 404)
                 self.assertEqual((await m.ask("/two/safe/x"))[0], 200)
 
@@ -454,21 +493,21 @@
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.serve()
-                core, loop = [f"{m.core}:{m.port + 2}"], m.comb.loop
+                core, loop = [f"{m.core}:{m.port + 2}"], m.control.loop
 
                 async def ask(path: str) -> Any:
                     status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", path)
                     self.assertEqual(status, 200)
                     return told
 
-                bees = (await ask("/v1/hive/who"))["Bees"]
-                self.assertEqual([b["Standing"] for b in bees], ["live"] * 3)
-                self.assertEqual([e["Phase"] for e in (await ask("/v1/hive/endpoints"))["Endpoints"]], ["ready"] * 2)
-                view = await ask("/v1/hive/view")
-                self.assertEqual((view["Phase"], view["Generation"], len(view["Seats"])), ("ACTS", 1, 1))
+                nodes = (await ask("/v1/mesh/who"))["Nodes"]
+                self.assertEqual([b["Standing"] for b in nodes], ["live"] * 3)
+                self.assertEqual([e["Phase"] for e in (await ask("/v1/mesh/endpoints"))["Endpoints"]], ["ready"] * 2)
+                view = await ask("/v1/mesh/view")
+                self.assertEqual((view["Role"], view["Generation"], len(view["Voters"])), ("LEADER", 1, 1))
                 self.assertEqual((view["Disk"]["mended"], view["Disk"]["refused"]), (0, 0))
                 told = read_folder(Path(m.folder.name) / "disk")
-                self.assertEqual((told["Disk"], told["Generation"]), (view["Acting"], 1))
+                self.assertEqual((told["Disk"], told["Generation"]), (view["Leader"], 1))
 
         run(test)
 
@@ -477,21 +516,20 @@
             async with Mesh(["one", "two"], {0: away}) as m:
                 await m.serve()
                 self.assertEqual((await m.ask("/one/unsafe/x", "POST", 1, X_Attempt_Id="r-asked"))[0], 503)
-                core, loop = [f"{m.core}:{m.port + 2}"], m.comb.loop
-                status, told, _ = await loop.run_in_executor(
-                    None, asking.ask, core, "GET", "/v1/hive/requests/r-asked")
+                core, loop = [f"{m.core}:{m.port + 2}"], m.control.loop
+                status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", "/v1/mesh/requests/r-asked")
                 self.assertEqual(status, 200)
                 (found,) = told["Requests"]
                 self.assertEqual((found["Status"], found["Target"]), (503, "one"))
                 self.assertIn(f"{m.apps[0].id}: turned away", found["Tries"])
-                status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", "/v1/hive/requests/r-0")
+                status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", "/v1/mesh/requests/r-0")
                 self.assertEqual((status, told["Error"]["Code"]), (404, "REQUEST_UNKNOWN"))
 
         run(test)
 
     def test_nobody_answers(self) -> None:
-        with self.assertRaises(HiveError) as caught:
-            asking.ask(["127.0.0.1:1", "127.0.0.2:1"], "GET", "/v1/hive/who")
+        with self.assertRaises(MeshError) as caught:
+            asking.ask(["127.0.0.1:1", "127.0.0.2:1"], "GET", "/v1/mesh/who")
         self.assertEqual(caught.exception.code, "NOBODY_ANSWERS")
         self.assertIn("127.0.0.2:1", str(caught.exception))
 
--- a/tests/colony/test_program.py
+++ b/tests/mesh/test_program.py
@@ -9,7 +9,7 @@
 import unittest
 from pathlib import Path
 
-from colony.cases import params
+from mesh.cases import params
 
 ROOT = Path(__file__).parents[2]
 
@@ -20,12 +20,13 @@
         env["ZINCLEVER_BOOT"] = boot
     if native:
         env["ZINCLEVER_NATIVE"] = native
-    return subprocess.run([sys.executable, "hive.py", *arguments], cwd=ROOT, env=env, capture_output=True, text=True,
-                          timeout=60)
+    return subprocess.run(
+        [sys.executable, "meshd.py", *arguments], cwd=ROOT, env=env, capture_output=True, text=True, timeout=60
+    )
 
 
 class Program(unittest.TestCase):
-    @params("forager", "comb")
+    @params("sidecar", "control")
     def test_settings_that_can_not_be_used(self, role: str) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "boot.json"
@@ -38,8 +39,10 @@
 
     def test_the_modules_run_as_they_are_written(self) -> None:
         """Whatever has been compiled for the sidecar in service, and whatever the environment says."""
-        code = ("import sys, hive, zinclever.http1.desk as d, zinclever.policy.admission as a;"
-                "print(d.__file__[-3:], a.__file__[-3:])")
+        code = (
+            "import sys, meshd, zinclever.http1.desk as d, zinclever.policy.admission as a;"
+            "print(d.__file__[-3:], a.__file__[-3:])"
+        )
         env = {**os.environ, "ZINCLEVER_NATIVE": os.fspath(ROOT / "zinclever" / "_native")}
         done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, env=env, capture_output=True, text=True)
         self.assertEqual(done.stdout.strip(), ".py .py", done.stderr)
@@ -47,9 +50,15 @@
     def test_help_names_each_role(self) -> None:
         done = start("--help")
         self.assertEqual(done.returncode, 0)
-        for role in ("forager", "comb"):
+        for role in ("sidecar", "control"):
             self.assertIn(role, done.stdout)
 
+    def test_role_names_of_the_version_before_are_understood(self) -> None:
+        for role in ("forager", "comb"):
+            done = start(role, boot="{")
+            self.assertEqual(done.returncode, 2)
+            self.assertIn("BOOT_UNREADABLE", done.stderr)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/colony/test_wax.py
+++ b/tests/mesh/test_storage.py
@@ -9,12 +9,12 @@
 import unittest
 from pathlib import Path
 
-from colony.cases import params
-from zinclever.hive.comb.acts import Save, Vow
-from zinclever.hive.comb.store import Store
-from zinclever.hive.dance.hive_pb2 import Change
-from zinclever.hive.wax.cells import unpack
-from zinclever.hive.wax.generations import SEAL, Disk, Generations, seal
+from mesh.cases import params
+from zinclever.mesh.consensus.messages import Persist, Vote
+from zinclever.mesh.consensus.store import Store
+from zinclever.mesh.storage.generations import SEAL, Disk, Generations, seal
+from zinclever.mesh.storage.record_format import unpack
+from zinclever.mesh.transport.mesh_pb2 import LogEntry
 
 
 class Stop(Exception):
@@ -95,7 +95,8 @@
         at hand, and never less than what a save has promised."""
         points = 0
         for left, kept, back in itertools.product(
-                range(16), ("none", "torn", "part", "one copy", "whole"), (False, True)):
+            range(16), ("none", "torn", "part", "one copy", "whole"), (False, True)
+        ):
             files = Torn()
             store = Generations(Path("/x"), "comb", files)
             store.load()
@@ -248,10 +249,10 @@
             store = Store(self.folder)
             store.load()
             for n in (1, 2):
-                store.write(Save(Vow(n, "d"), Change(number=n, epoch=n), n))
+                store.write(Persist(Vote(n, "d"), LogEntry(number=n, term=n), n))
             again = Store(self.folder)
             again.load()
-            self.assertEqual((again.disk, again.vow.epoch), (store.disk, 2))
+            self.assertEqual((again.disk, again.vote.term), (store.disk, 2))
             store.close()
             store.thread.shutdown(wait=True)
             for path in self.folder.glob("comb-*.dat"):
@@ -259,7 +260,7 @@
             lost = Store(self.folder)
             lost.load()
             self.assertNotEqual(lost.disk, store.disk)
-            self.assertEqual((lost.vow.epoch, lost.change), (0, None))
+            self.assertEqual((lost.vote.term, lost.change), (0, None))
 
         asyncio.run(test())
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -11,8 +11,8 @@
 
 
 def main() -> int:
-    mesh = [sys.executable, "-m", "nose2", "-s", "tests/colony", "-t", "tests"]
-    as_written = {**os.environ, "ZINCLEVER_NATIVE": "text", "PYTHONPATH": os.fspath(ROOT)}  # as hive.py has it
+    mesh = [sys.executable, "-m", "nose2", "-s", "tests/mesh", "-t", "tests"]
+    as_written = {**os.environ, "ZINCLEVER_NATIVE": "text", "PYTHONPATH": os.fspath(ROOT)}  # as meshd.py has it
     runs = ((mesh, as_written), ([sys.executable, "-m", "pytest"], dict(os.environ)))
     failed = [c for c, env in runs if subprocess.run(c, cwd=ROOT, env=env).returncode]
     for command in failed:
--- a/zinclever/hive/cli.py
+++ b/zinclever/mesh/cli.py
@@ -14,7 +14,7 @@
 import uvloop
 from pythonjsonlogger.json import JsonFormatter
 
-from .errors import HiveError
+from .errors import MeshError
 from .roles.boot import VARIABLE, Boot, read
 
 log = logging.getLogger(__name__)
@@ -30,18 +30,18 @@
     def reload(self, boot: Boot) -> None: ...
 
 
-def forager() -> int:
+def sidecar() -> int:
     """Run the sidecar beside an endpoint."""
-    from .roles.forager import Forager
+    from .roles.sidecar import Sidecar
 
-    return run(Forager)
+    return run(Sidecar)
 
 
-def comb() -> int:
-    """Run a member of the core."""
-    from .roles.comb import CombRole
+def control() -> int:
+    """Run a control machine: a replica of the configuration, and the calls of operators and endpoints."""
+    from .roles.control import ControlRole
 
-    return run(CombRole)
+    return run(ControlRole)
 
 
 def run(make: Callable[[Boot], Role]) -> int:
@@ -52,7 +52,7 @@
         boot = read_boot()
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(make, boot))
-    except HiveError as wrong:
+    except MeshError as wrong:
         print(f"zinclever: {wrong}", file=sys.stderr)
         return 2
     except OSError as wrong:
@@ -64,11 +64,11 @@
 def read_boot() -> Boot:
     path = os.environ.get(VARIABLE, "")
     if not path:
-        raise HiveError("BOOT_MISSING", f"{VARIABLE} names no file")
+        raise MeshError("BOOT_MISSING", f"{VARIABLE} names no file")
     try:
         return read(Path(path).read_bytes())
     except OSError as wrong:
-        raise HiveError("BOOT_UNREADABLE", str(wrong)) from None
+        raise MeshError("BOOT_UNREADABLE", str(wrong)) from None
 
 
 async def serve(make: Callable[[Boot], Role], boot: Boot) -> None:
@@ -103,7 +103,7 @@
         """What can't be used changes nothing, and is told once."""
         try:
             boot = read_boot()
-        except HiveError as wrong:
+        except MeshError as wrong:
             if str(wrong) != self.wrong:
                 self.wrong = str(wrong)
                 log.error("settings not taken", extra={"code": wrong.code, "field": wrong.field, "text": wrong.text})
@@ -124,17 +124,17 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(name)s %(message)s"))
     logging.basicConfig(level=logging.INFO, handlers=[handler])
-    roles = {"forager": forager, "comb": comb}
+    roles = {"sidecar": sidecar, "control": control, "forager": sidecar, "comb": control}  # the last two: of 0.1
     told = sys.argv[1:] if arguments is None else arguments
     if len(told) == 1 and told[0] in roles:
         return roles[told[0]]()  # a start waits for no library that reads the rest of the command line
     import defopt
 
-    from .scout.commands import COMMANDS
+    from .operator_cli.commands import COMMANDS
 
     try:
-        return int(defopt.run([forager, comb, *COMMANDS], argv=arguments, cli_options="has_default") or 0)
-    except HiveError as wrong:
+        return int(defopt.run([sidecar, control, *COMMANDS], argv=arguments, cli_options="has_default") or 0)
+    except MeshError as wrong:
         print(f"zinclever: {wrong}", file=sys.stderr)
         return 1
     except OSError as wrong:
--- a/zinclever/hive/honey/pantry.py
+++ b/zinclever/mesh/configuration/active.py
@@ -5,23 +5,23 @@
 import zlib
 from collections.abc import Callable
 
-from ..errors import HiveError
-from .recipe import MOST_TEXT, Recipe, read
+from ..errors import MeshError
+from .document import MOST_TEXT, Configuration, read
 
 SMALL = 4096  # bytes of a text up to which it is passed on as it is
 
 
-class Pantry:
+class ActiveConfiguration:
     """Holds the newest configuration by its place in the one order of changes."""
 
     def __init__(self) -> None:
         self.number = 0
         self.generation = 0
         self.text = b""
-        self.recipe: Recipe | None = None
+        self.configuration: Configuration | None = None
         self.packed = b""
         """The text in force packed, once somebody has asked for it."""
-        self.listeners: list[Callable[[Recipe], None]] = []
+        self.listeners: list[Callable[[Configuration], None]] = []
 
     def pack(self) -> bytes:
         """The text in force, packed; nothing where that is not worth it. On a link of 2 Mbit/s 1 MB of text takes 4 s,
@@ -34,27 +34,27 @@
 
     def take(self, number: int, generation: int, text: bytes) -> bool:
         """Put a configuration in force; False where this or a newer one is. The text is one that
-        has been checked and settled; HiveError where it is none all the same."""
+        has been checked and settled; MeshError where it is none all the same."""
         if number < self.number or (number == self.number and text == self.text) or not text:
             return False
-        if generation == self.generation and text == self.text and self.recipe is not None:
+        if generation == self.generation and text == self.text and self.configuration is not None:
             self.number = number  # the same one again, after a change of view
             return False
-        recipe = read(text, checked=True)
-        self.number, self.generation, self.text, self.recipe = number, generation, text, recipe
+        configuration = read(text, checked=True)
+        self.number, self.generation, self.text, self.configuration = number, generation, text, configuration
         self.packed = b""
         for listener in self.listeners:
-            listener(recipe)
+            listener(configuration)
         return True
 
 
 def unpack(packed: bytes) -> bytes:
-    """A text that came packed; HiveError where it is none, or too long."""
+    """A text that came packed; MeshError where it is none, or too long."""
     made = zlib.decompressobj()
     try:
         text = made.decompress(packed, MOST_TEXT + 1)
     except zlib.error as wrong:
-        raise HiveError("CONFIG_UNREADABLE", str(wrong)) from None
+        raise MeshError("CONFIG_UNREADABLE", str(wrong)) from None
     if len(text) > MOST_TEXT or not made.eof:
-        raise HiveError("CONFIG_TOO_LARGE", f"more than {MOST_TEXT} bytes, or cut short")
+        raise MeshError("CONFIG_TOO_LARGE", f"more than {MOST_TEXT} bytes, or cut short")
     return text
--- a/zinclever/hive/honey/recipe.py
+++ b/zinclever/mesh/configuration/document.py
@@ -13,7 +13,7 @@
 import orjson
 from schema import And, Optional, Or, Schema, SchemaError
 
-from ..errors import HiveError
+from ..errors import MeshError
 
 MOST_TEXT = 16 << 20  # bytes of a configuration
 MOST_NUMBER = 2**53
@@ -23,6 +23,7 @@
 
 def number(least: float, most: float, above: bool = False) -> Any:
     """A finite JSON number within bounds; booleans are none."""
+
     def check(value: object) -> bool:
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
             return False
@@ -47,7 +48,8 @@
         Optional("Target"): TEXT,
         Optional("WeightedTargets"): And(
             [Schema({"Target": TEXT, "Weight": number(0, 1e9)}, ignore_extra_keys=True)],
-            lambda ws: sum(w["Weight"] for w in ws) > 0, error="must hold a target with a weight above 0",
+            lambda ws: sum(w["Weight"] for w in ws) > 0,
+            error="must hold a target with a weight above 0",
         ),
     },
     ignore_extra_keys=True,
@@ -57,8 +59,10 @@
 )
 LIMITS = Schema(
     {
-        Optional("MaxHeaderBytes"): number(1, 2**40), Optional("MaxBodyBytes"): number(0, 2**50),
-        Optional("HeaderTimeoutS"): number(0, 1e6), Optional("IdleTimeoutS"): number(0, 1e6),
+        Optional("MaxHeaderBytes"): number(1, 2**40),
+        Optional("MaxBodyBytes"): number(0, 2**50),
+        Optional("HeaderTimeoutS"): number(0, 1e6),
+        Optional("IdleTimeoutS"): number(0, 1e6),
     },
     ignore_extra_keys=True,
 )
@@ -92,7 +96,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Recipe:
+class Configuration:
     """A whole configuration."""
 
     generation: int
@@ -113,24 +117,24 @@
         return None
 
 
-def read(text: bytes, checked: bool = False) -> Recipe:
-    """A configuration from its text; HiveError with the path of the field where it is none. ``checked``: that was done
+def read(text: bytes, checked: bool = False) -> Configuration:
+    """A configuration from its text; MeshError with the path of the field where it is none. ``checked``: that was done
     before it was settled, and isn't done field by field again: 2,000 routes take a second to check, 10 ms to read."""
     if len(text) > MOST_TEXT:
-        raise HiveError("CONFIG_TOO_LARGE", f"more than {MOST_TEXT} bytes")
+        raise MeshError("CONFIG_TOO_LARGE", f"more than {MOST_TEXT} bytes")
     try:
         told = orjson.loads(text)
     except orjson.JSONDecodeError as wrong:
-        raise HiveError("CONFIG_UNREADABLE", str(wrong)) from None
+        raise MeshError("CONFIG_UNREADABLE", str(wrong)) from None
     if not isinstance(told, dict):
-        raise HiveError("CONFIG_INVALID", "must be a table")
+        raise MeshError("CONFIG_INVALID", "must be a table")
     if not checked:
         check(WHOLE, told.get("Generation"), "Generation")
     routes, services = told.get("Routes"), told.get("Services")
     if not isinstance(routes, dict):
-        raise HiveError("CONFIG_INVALID", "must be a table by name", "Routes")
+        raise MeshError("CONFIG_INVALID", "must be a table by name", "Routes")
     if not isinstance(services, dict):
-        raise HiveError("CONFIG_INVALID", "must be a table by name", "Services")
+        raise MeshError("CONFIG_INVALID", "must be a table by name", "Services")
     limits = told.get("Limits", {})
     if not checked:
         check_fields(routes, services, limits)
@@ -141,15 +145,25 @@
     for route in found.values():
         place = (route.host, route.prefix)
         if place in places:
-            raise HiveError("CONFIG_INVALID", f"the same place as {places[place]}", f"Routes.{route.name}.PathPrefix")
+            raise MeshError("CONFIG_INVALID", f"the same place as {places[place]}", f"Routes.{route.name}.PathPrefix")
         places[place] = route.name
         hosts.setdefault(route.host, []).append(route)
     for listed in hosts.values():
         listed.sort(key=lambda r: -len(r.prefix))
-    return Recipe(
-        int(told["Generation"]), found, made, hosts,
-        *(float(limits.get(k, d)) for k, d in (
-            ("MaxHeaderBytes", 32768), ("MaxBodyBytes", 40 << 20), ("HeaderTimeoutS", 3), ("IdleTimeoutS", 15))),
+    return Configuration(
+        int(told["Generation"]),
+        found,
+        made,
+        hosts,
+        *(
+            float(limits.get(k, d))
+            for k, d in (
+                ("MaxHeaderBytes", 32768),
+                ("MaxBodyBytes", 40 << 20),
+                ("HeaderTimeoutS", 3),
+                ("IdleTimeoutS", 15),
+            )
+        ),
     )
 
 
@@ -162,7 +176,7 @@
         key = next((a.partition("Key '")[2].partition("'")[0] for a in autos if "Key '" in a), "")
         said = [str(e) for e in wrong.errors if e] or autos
         at = f"{path}.{key}" if key else path
-        raise HiveError("CONFIG_INVALID", said[-1] if said else "is not valid", at) from None
+        raise MeshError("CONFIG_INVALID", said[-1] if said else "is not valid", at) from None
 
 
 def check_fields(routes: dict[str, Any], services: dict[str, Any], limits: object) -> None:
@@ -182,15 +196,21 @@
     path = f"Routes.{name}"
     weighted = told.get("WeightedTargets")
     if weighted is None and "Target" not in told:
-        raise HiveError("CONFIG_INVALID", "names no target", path)
+        raise MeshError("CONFIG_INVALID", "names no target", path)
     pairs = [(w["Target"], float(w["Weight"])) for w in weighted] if weighted else [(told["Target"], 1.0)]
     for target, _ in pairs:
         if target not in services:
-            raise HiveError("CONFIG_INVALID", f"names the unknown service {target!r}", f"{path}.Target")
+            raise MeshError("CONFIG_INVALID", f"names the unknown service {target!r}", f"{path}.Target")
     whole = sum(w for _, w in pairs)
     deadline = float(told["DeadlineS"])
     return Route(
-        name, told["Authority"].lower(), told["PathPrefix"], told["RouteClass"] == IDEMPOTENT, deadline,
-        float(told.get("TargetLatencyS", 0.0)) or deadline, float(told.get("Priority", 0)),
-        int(told.get("MaxAttempts", 1)), tuple((t, w / whole) for t, w in pairs if w > 0),
+        name,
+        told["Authority"].lower(),
+        told["PathPrefix"],
+        told["RouteClass"] == IDEMPOTENT,
+        deadline,
+        float(told.get("TargetLatencyS", 0.0)) or deadline,
+        float(told.get("Priority", 0)),
+        int(told.get("MaxAttempts", 1)),
+        tuple((t, w / whole) for t, w in pairs if w > 0),
     )
--- a/zinclever/hive/comb/calls.py
+++ b/zinclever/mesh/consensus/client_calls.py
@@ -1,19 +1,19 @@
-"""The calls of operators at the member that acts: which is next, which needs no change, which stays unclear. Pure."""
+"""The calls of operators at the member that acts: which is next, which needs no entry, which stays unclear. Pure."""
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Callable
 
-from ..dance.hive_pb2 import Change
-from .acts import Proposal
-from .views import agrees
+from ..transport.mesh_pb2 import LogEntry
+from .messages import Proposal
+from .quorum import has_majority
 
-CALL_FOR = 2.5  # s in which a call is settled, or has no clear answer
-REMEMBERED = 256  # changes by which a repeated call is known
+CALL_FOR = 2.5  # s in which a call is committed, or has no clear answer
+REMEMBERED = 256  # entries by which a repeated call is known
 
 
-class Calls:
+class ClientCalls:
     """Every call gets one answer, as an HTTP status and a text."""
 
     def __init__(self, reply: Callable[[int, int, bytes], None]) -> None:
@@ -25,19 +25,19 @@
         self.reads: dict[int, tuple[int, float, set[str]]] = {}
         """By round: the call, when it came, who has confirmed."""
 
-    def next(self, settled: Change) -> Proposal | None:
-        """The next call that wants a change; those before it that don't are answered."""
+    def next(self, committed: LogEntry) -> Proposal | None:
+        """The next call that wants an entry; those before it that don't are answered."""
         while self.waiting:
             call = self.waiting.popleft()
-            status, text = judge(call, settled)
+            status, text = judge(call, committed)
             if not status:
                 self.current = call
                 return call
             self.reply(call.call, status, text)
         return None
 
-    def settled(self) -> None:
-        """What was proposed is settled."""
+    def committed(self) -> None:
+        """What was proposed is committed."""
         call, self.current = self.current, None
         if call is not None:
             self.reply(call.call, 200, b"")
@@ -48,16 +48,16 @@
         self.reads[self.round] = (call, now, set())
         return self.round
 
-    def confirmed(self, number: int, disk: str, settled: Change) -> None:
+    def confirmed(self, number: int, disk: str, committed: LogEntry) -> None:
         """A member knows of no other that acts."""
         if number not in self.reads:
             return
         call, _, who = self.reads[number]
         who.add(disk)
-        if agrees(settled.seats, who):
+        if has_majority(committed.voters, who):
             del self.reads[number]
-            if settled.generation:
-                self.reply(call, 200, settled.text)
+            if committed.generation:
+                self.reply(call, 200, committed.text)
             else:
                 self.reply(call, 404, b"there is none yet")
 
@@ -65,9 +65,9 @@
         """Those whose time is up."""
         for call in [c for c in self.waiting if now - c.at > CALL_FOR]:
             self.waiting.remove(call)
-            self.reply(call.call, 503, b"not settled in time")
+            self.reply(call.call, 503, b"not committed in time")
         if self.current is not None and now - self.current.at > CALL_FOR:
-            self.reply(self.current.call, 503, b"not settled in time: it may be yet")
+            self.reply(self.current.call, 503, b"not committed in time: it may be yet")
             self.current = None
         for number, (asked, at, _) in list(self.reads.items()):
             if now - at > CALL_FOR / 2:
@@ -77,7 +77,7 @@
     def drop(self) -> None:
         """This member acts no more: calls have no clear answer here."""
         for call in [*self.waiting, *([self.current] if self.current is not None else [])]:
-            self.reply(call.call, 503, b"does not act any more: it may be settled")
+            self.reply(call.call, 503, b"does not act any more: it may be committed")
         self.waiting.clear()
         self.current = None
         for asked, _, _ in self.reads.values():
@@ -85,13 +85,13 @@
         self.reads.clear()
 
 
-def judge(call: Proposal, settled: Change) -> tuple[int, bytes]:
-    """A status where a call is answered without a change; 0 where it is to be proposed."""
-    for taken in settled.taken:
+def judge(call: Proposal, committed: LogEntry) -> tuple[int, bytes]:
+    """A status where a call is answered without an entry; 0 where it is to be proposed."""
+    for taken in committed.applied:
         if taken.digest == call.digest and taken.generation == call.generation and taken.base == call.base:
-            return 200, b""  # the same change again
-    if call.base != settled.generation:
-        return 412, b"another version is current: %d" % settled.generation
-    if call.generation <= settled.generation:
-        return 400, b"Generation is not above the current one, %d" % settled.generation
+            return 200, b""  # the same entry again
+    if call.base != committed.generation:
+        return 412, b"another version is current: %d" % committed.generation
+    if call.generation <= committed.generation:
+        return 400, b"Generation is not above the current one, %d" % committed.generation
     return 0, b""
--- /dev/null
+++ b/zinclever/mesh/consensus/messages.py
@@ -0,0 +1,77 @@
+"""What members of the core send to each other and ask of what is round them; what they are doing."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
+
+
+class Kind(enum.IntEnum):
+    """Messages between members."""
+
+    HEARTBEAT = 1
+    VOTE_REQUEST = 2
+    VOTE_REPLY = 3
+    APPEND = 4
+    APPEND_REPLY = 5
+    CONFIRM_LEADERSHIP = 6
+    LEADERSHIP_CONFIRMED = 7
+    HAND_OVER = 8
+
+
+class ReplicaRole(enum.Enum):
+    """What a member is doing."""
+
+    LEARNER = "has no voters: founds one, or waits to be let in"
+    FOLLOWER = "follows the leader"
+    CANDIDATE = "asks the others whether it may act"
+    LEADER = "acts"
+
+
+class Vote(NamedTuple):
+    """The lowest term, and whose, that this member still takes part in."""
+
+    term: int
+    disk: str
+
+
+class Send(NamedTuple):
+    to: Voter
+    message: ConsensusMessage
+
+
+class Persist(NamedTuple):
+    """Make durable: the vote, and the entry if there is one. Answered by :meth:`Replica.persisted`, in the order of
+    saves."""
+
+    vote: Vote
+    accepted: LogEntry | None
+    token: int
+
+
+class Commit(NamedTuple):
+    """A entry is committed: the next one in the log."""
+
+    entry: LogEntry
+
+
+class Reply(NamedTuple):
+    """The answer to a call: an HTTP status, and a text."""
+
+    call: int
+    status: int
+    text: bytes
+
+
+Action = Send | Persist | Commit | Reply
+
+
+class Proposal(NamedTuple):
+    call: int
+    at: float
+    base: int
+    generation: int
+    text: bytes
+    digest: bytes
--- a/zinclever/hive/comb/store.py
+++ b/zinclever/mesh/consensus/store.py
@@ -1,4 +1,4 @@
-"""What a member keeps on its disk: who it is, its vow, and the change that it has. Saves are made one after another."""
+"""What a replica keeps on its disk: its identity, its vote and its newest entry. Saves are made one after another."""
 
 from __future__ import annotations
 
@@ -10,13 +10,17 @@
 from pathlib import Path
 from typing import Any
 
-from ..dance.hive_pb2 import Change
-from ..errors import HiveError
-from ..wax.generations import Files, Generations
-from .acts import Save, Vow
+from ..errors import MeshError
+from ..storage.generations import Files, Generations
+from ..transport.mesh_pb2 import LogEntry
+from .messages import Persist, Vote
 
 log = logging.getLogger(__name__)
 
+# Names on disk, kept from version 0.1: a disk that it wrote is read as it is.
+VOTE_FILES, ENTRY_FILES = "vow", "comb"
+DISK_KEY, VOTE_KEY, ENTRY_KEY = b"disk", b"vow", b"change"
+
 LOOK_EACH = 30.0  # s between two looks at whether the files are as they were saved
 
 
@@ -25,48 +29,49 @@
 
     def __init__(self, folder: Path, files: Files | None = None) -> None:
         folder.mkdir(parents=True, exist_ok=True)
-        self.vows, self.changes = Generations(folder, "vow", files), Generations(folder, "comb", files)
-        self.thread = ThreadPoolExecutor(1, thread_name_prefix="wax")
+        self.votes, self.changes = Generations(folder, VOTE_FILES, files), Generations(folder, ENTRY_FILES, files)
+        self.thread = ThreadPoolExecutor(1, thread_name_prefix="storage")
         self.loop = asyncio.get_running_loop()
         self.disk = ""
-        self.vow = Vow(0, "")
-        self.change: Change | None = None
+        self.vote = Vote(0, "")
+        self.change: LogEntry | None = None
         self.full = False
         self.counts = {"saves": 0, "refused": 0, "looks": 0, "mended": 0}
         self.looking: asyncio.TimerHandle | None = None
 
     def load(self) -> None:
         """Read what is there; a disk that holds nothing gets an identity of its own. OSError where it can't be used."""
-        told = self.vows.load()
+        told = self.votes.load()
         kept = self.changes.load()
         if told is not None:
-            self.disk = told[b"disk"].decode()
-            epoch, _, whose = told[b"vow"].decode().partition(" ")
-            self.vow = Vow(int(epoch), whose)
+            self.disk = told[DISK_KEY].decode()
+            term, _, whose = told[VOTE_KEY].decode().partition(" ")
+            self.vote = Vote(int(term), whose)
         if kept is not None and told is not None:
-            self.change = Change.FromString(kept[b"change"])
-        elif self.vows.lost or self.changes.lost or len(self.changes.numbers()) > 1:
+            self.change = LogEntry.FromString(kept[ENTRY_KEY])
+        elif self.votes.lost or self.changes.lost or len(self.changes.numbers()) > 1:
             # It has promised more than can be read: it must not vote as if it never had.
-            log.error("the disk has lost what it promised: it begins anew",
-                      extra={"code": "DISK_LOST", "disk": self.disk})
-            self.disk, self.vow = "", Vow(0, "")
+            log.error(
+                "the disk has lost what it promised: it begins anew", extra={"code": "DISK_LOST", "disk": self.disk}
+            )
+            self.disk, self.vote = "", Vote(0, "")
         if not self.disk:
             self.disk = uuid.uuid4().hex
-            self.write_vow(self.vow)
+            self.write_vote(self.vote)
 
-    def write_vow(self, vow: Vow) -> None:
-        self.vows.save({b"disk": self.disk.encode(), b"vow": f"{vow.epoch} {vow.disk}".encode()})
-        self.vow = vow
-        self.vows.mark()
+    def write_vote(self, vote: Vote) -> None:
+        self.votes.save({DISK_KEY: self.disk.encode(), VOTE_KEY: f"{vote.term} {vote.disk}".encode()})
+        self.vote = vote
+        self.votes.mark()
 
-    def write(self, act: Save) -> None:
-        """A change holds a vow for its own epoch: only a higher one is written by itself."""
-        if act.vow != self.vow:
-            self.write_vow(act.vow)
+    def write(self, act: Persist) -> None:
+        """A change holds a vote for its own term: only a higher one is written by itself."""
+        if act.vote != self.vote:
+            self.write_vote(act.vote)
         if act.accepted is not None:
-            self.changes.save({b"change": act.accepted.SerializeToString()})
+            self.changes.save({ENTRY_KEY: act.accepted.SerializeToString()})
 
-    def save(self, act: Save, done: Callable[[int, bool], None]) -> None:
+    def save(self, act: Persist, done: Callable[[int, bool], None]) -> None:
         """Write in the thread, after the saves before; ``done`` is called on the loop."""
         self.counts["saves"] += 1
         self.loop.run_in_executor(self.thread, self.write, act).add_done_callback(
@@ -85,8 +90,9 @@
                 return
             self.counts["mended"] += f.result().count(False)
 
-        self.loop.run_in_executor(
-            self.thread, lambda: [self.vows.look(), self.changes.look()]).add_done_callback(looked)
+        self.loop.run_in_executor(self.thread, lambda: [self.votes.look(), self.changes.look()]).add_done_callback(
+            looked
+        )
 
     def judge(self, wrong: BaseException | None) -> bool:
         self.counts["refused"] += wrong is not None
@@ -94,8 +100,10 @@
             log.error("not saved", exc_info=wrong, extra={"code": "DISK_FAILED"})
         elif (wrong is not None) != self.full:
             self.full = wrong is not None
-            log.warning("the disk takes nothing" if self.full else "the disk takes changes again",
-                        extra={"code": "DISK_REFUSES", "error": str(wrong)})
+            log.warning(
+                "the disk takes nothing" if self.full else "the disk takes changes again",
+                extra={"code": "DISK_REFUSES", "error": str(wrong)},
+            )
         return wrong is None
 
     def close(self) -> None:
@@ -105,16 +113,20 @@
 
 
 def read_folder(folder: Path) -> dict[str, Any]:
-    """What a member has on its disk, read without changing anything. HiveError where there is no state."""
+    """What a member has on its disk, read without changing anything. MeshError where there is no state."""
     try:
-        told, kept = Generations(folder, "vow").load(mend=False), Generations(folder, "comb").load(mend=False)
+        told, kept = Generations(folder, VOTE_FILES).load(mend=False), Generations(folder, ENTRY_FILES).load(mend=False)
     except OSError as wrong:
-        raise HiveError("DISK_UNREADABLE", str(wrong)) from None
+        raise MeshError("DISK_UNREADABLE", str(wrong)) from None
     if told is None:
-        raise HiveError("DISK_EMPTY", "holds no state of a member", str(folder))
-    change = Change.FromString(kept[b"change"]) if kept is not None else Change()
+        raise MeshError("DISK_EMPTY", "holds no state of a member", str(folder))
+    change = LogEntry.FromString(kept[ENTRY_KEY]) if kept is not None else LogEntry()
     return {
-        "Disk": told[b"disk"].decode(), "Vow": told[b"vow"].decode(), "Epoch": change.epoch, "Number": change.number,
-        "Generation": change.generation, "Config": change.text.decode(),
-        "Seats": [{"Disk": s.disk, "Name": s.name, "Ip": s.ip} for s in change.seats],
+        "Disk": told[DISK_KEY].decode(),
+        "Vote": told[VOTE_KEY].decode(),
+        "Term": change.term,
+        "Number": change.number,
+        "Generation": change.generation,
+        "Config": change.text.decode(),
+        "Voters": [{"Disk": s.disk, "Name": s.name, "Ip": s.ip} for s in change.voters],
     }
--- a/zinclever/hive/gate/desk.py
+++ b/zinclever/mesh/control_api/desk.py
@@ -17,7 +17,7 @@
 from ...http1.connection import Headers
 from ...http1.desk import Desk
 from ...http1.heads import Answer, Rejected
-from ..errors import HiveError
+from ..errors import MeshError
 from .matchers import Tree
 
 log = logging.getLogger(__name__)
@@ -32,11 +32,11 @@
     body: bytes
 
     def json(self) -> Any:
-        """The body read as JSON; HiveError where it is none."""
+        """The body read as JSON; MeshError where it is none."""
         try:
             return orjson.loads(self.body)
         except orjson.JSONDecodeError as wrong:
-            raise HiveError("CALL_UNREADABLE", str(wrong)) from None
+            raise MeshError("CALL_UNREADABLE", str(wrong)) from None
 
 
 Handler = Callable[[Call], Answer | Awaitable[Answer]]
@@ -47,12 +47,12 @@
     return Answer(status, b"Content-Type: application/json\r\n" + headers, orjson.dumps({} if told is None else told))
 
 
-def refuse(status: int, wrong: HiveError) -> Answer:
+def refuse(status: int, wrong: MeshError) -> Answer:
     """An error as it is told to callers."""
     return say(status, {"Error": {"Code": wrong.code, "Field": wrong.field, "Text": wrong.text}})
 
 
-class Gate(Desk):
+class ControlApi(Desk):
     """Takes the calls of one listener."""
 
     def __init__(self, descriptors: Descriptors, host: Host, tree: Tree[Handler]) -> None:
@@ -79,7 +79,7 @@
         handler, call = told.payload
         try:
             made = handler(call)
-        except HiveError as wrong:
+        except MeshError as wrong:
             answer(refuse(400, wrong))
             return
         except Exception:
@@ -94,7 +94,7 @@
     async def wait(self, number: str, made: Awaitable[Answer], answer: Callable[[Final | Answer], None]) -> None:
         try:
             answer(await made)
-        except HiveError as wrong:
+        except MeshError as wrong:
             answer(refuse(400, wrong))
         except Exception:
             log.exception("a call failed", extra={"code": "CALL_FAILED"})
--- a/zinclever/hive/forage/egress.py
+++ b/zinclever/mesh/dataplane/egress.py
@@ -15,8 +15,8 @@
 from ...http1.connection import OWN_HEADERS, Headers, end_to_end
 from ...http1.desk import Desk
 from ...http1.heads import NUMBER, Answer
-from ..honey.pantry import Pantry
-from ..honey.recipe import Recipe, Route
+from ..configuration.active import ActiveConfiguration
+from ..configuration.document import Configuration, Route
 from .flights import Flights
 from .hop import Order, Reply
 from .remembered import Remembered
@@ -35,10 +35,17 @@
 class Egress(Desk):
     """Takes the requests of this machine's clients and of its endpoint."""
 
-    def __init__(self, descriptors: Descriptors, host: Host, pantry: Pantry, flights: Flights, service: str,
-                 runs: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        descriptors: Descriptors,
+        host: Host,
+        active: ActiveConfiguration,
+        flights: Flights,
+        service: str,
+        runs: Callable[[str], bool],
+    ) -> None:
         super().__init__(descriptors)
-        self.host, self.pantry, self.flights = host, pantry, flights
+        self.host, self.active, self.flights = host, active, flights
         self.caller = b"X-Caller-Service: %b\r\n" % service.encode("latin-1")
         self.runs = runs
         """Whether the endpoint of this machine is at work on a request with this id."""
@@ -51,12 +58,12 @@
         self.returning = Returning()
         self.counts = {"served": 0, "refused": 0, "failed": 0, "unknown": 0, "left": 0, "untried": 0}
 
-    def configure(self, recipe: Recipe, memory: int) -> None:
+    def configure(self, configuration: Configuration, memory: int) -> None:
         """Hold clients to the configuration's limits, as far as ``memory`` bytes allow."""
-        self.returning.keep(recipe.routes)
-        self.read_for = max(READ_FOR, recipe.header_timeout + SLACK)
-        self.idle_for = max(SLACK, recipe.idle_timeout)
-        self.most_upload = int(min(recipe.max_body, MOST_PART * memory))
+        self.returning.keep(configuration.routes)
+        self.read_for = max(READ_FOR, configuration.header_timeout + SLACK)
+        self.idle_for = max(SLACK, configuration.idle_timeout)
+        self.most_upload = int(min(configuration.max_body, MOST_PART * memory))
         self.room.limit = int(max(self.most_upload, MOST_PART * memory))
 
     def read(self, method: str, target: str, headers: Headers, body: bytes | Body, waited: float) -> Incoming:
@@ -72,10 +79,10 @@
                 told = told or value
         self.number += 1
         number = str(self.number)
-        recipe = self.pantry.recipe
-        if recipe is None:
+        configuration = self.active.configuration
+        if configuration is None:
             return answered(number, Answer(503, b"Retry-After: 0.2\r\n"))
-        route = recipe.find(host.decode("latin-1").lower().partition(":")[0], target.partition("?")[0])
+        route = configuration.find(host.decode("latin-1").lower().partition(":")[0], target.partition("?")[0])
         if route is None:
             self.counts["unknown"] += 1
             return answered(number, Answer(404))
@@ -90,14 +97,27 @@
         wait = max(0.001, min(wait, deadline) - waited / 1000.0)
         service = self.choose(route)
         head = b"%b %b HTTP/1.1\r\n%b%b" % (
-            method.encode(), target.encode("latin-1"), end_to_end(headers, OURS), self.caller)
+            method.encode(),
+            target.encode("latin-1"),
+            end_to_end(headers, OURS),
+            self.caller,
+        )
         named = request_id.decode("latin-1")
         # A call of the endpoint's own extends the id of the request that it is at work on. What is claimed counts only
         # where that request is at work here.
         inner = "." in named and self.runs(named.rpartition(".")[0])
         order = Order(
-            service, named, head, body, method not in ("GET", "HEAD") or bool(body),
-            route.safe, int(route.priority), now + max(0.0, route.aim - used), route.attempts, now, inner,
+            service,
+            named,
+            head,
+            body,
+            method not in ("GET", "HEAD") or bool(body),
+            route.safe,
+            int(route.priority),
+            now + max(0.0, route.aim - used),
+            route.attempts,
+            now,
+            inner,
             used > 0.0 and not inner,
         )
         flight = self.flights.to(service)
@@ -122,7 +142,7 @@
             answer(order)
             return
         flight = self.flights.to(order.service)
-        flight.thrift.ask(self.loop.time())
+        flight.retry_budget.ask(self.loop.time())
         self.open[told.id] = order
 
         def final(made: Final) -> None:
--- a/zinclever/hive/forage/flights.py
+++ b/zinclever/mesh/dataplane/flights.py
@@ -12,10 +12,10 @@
 from ...core.protocol import Address, Entry, OnList
 from ...policy import Balancer
 from ...policy.requests import Klass
-from ..honey.recipe import Route
+from ..configuration.document import Route
 from .admission import open_up
 from .hop import HopWire
-from .thrift import Thrift
+from .retry_budget import RetryBudget
 
 MOST_TRIES = 8  # attempts of a request that reach a keeper: those that reach an endpoint are the route's
 CONNECT_FOR = 400.0  # ms: of it a keeper that can't be reached is left alone a multiple
@@ -64,15 +64,24 @@
 class Flight:
     """The way to one service."""
 
-    def __init__(self, service: str, zone: int, sidecars: int, wire: HopWire, thrift: Thrift,
-                 descriptors: Descriptors, host: Host) -> None:
-        self.service, self.wire, self.thrift = service, wire, thrift
+    def __init__(
+        self,
+        service: str,
+        zone: int,
+        sidecars: int,
+        wire: HopWire,
+        retry_budget: RetryBudget,
+        descriptors: Descriptors,
+        host: Host,
+    ) -> None:
+        self.service, self.wire, self.retry_budget = service, wire, retry_budget
         self.kinds: dict[tuple[bool, float, float, float], int] = {}
         self.classes: list[i.RequestClass] = [i.RequestClass(aim=1000.0, deadline=1000.0, name="none")]
         settings = i.Settings(
             classes=self.classes,
             limits=i.Limits(max_attempts=MOST_TRIES, cancel=True, second_copies=True, connect_timeout=CONNECT_FOR),
-            zone=zone, group_size=max(1, sidecars),
+            zone=zone,
+            group_size=max(1, sidecars),
             prices=i.Prices(cross_zone=CROSSING),
         )
         self.known: Known | None = None
@@ -96,8 +105,10 @@
         if found is None:
             found = self.kinds[kind] = len(self.classes)
             told = i.RequestClass(
-                aim=1000.0 * min(route.aim, deadline), deadline=1000.0 * deadline,
-                repeat="idempotent" if route.safe else "at_most_once", late_worth=LATE_WORTH,
+                aim=1000.0 * min(route.aim, deadline),
+                deadline=1000.0 * deadline,
+                repeat="idempotent" if route.safe else "at_most_once",
+                late_worth=LATE_WORTH,
                 name=f"{'safe' if route.safe else 'unsafe'} {route.aim:g}",
             )
             self.classes.append(told)
--- a/zinclever/hive/forage/hop.py
+++ b/zinclever/mesh/dataplane/hop.py
@@ -8,11 +8,11 @@
 
 from ...core.protocol import Address, Ended
 from ...fleet.limits import Connections
-from ..dance.hive_pb2 import Frame, Load, Piece, Yield
-from ..dance.links import Line
+from ..transport.links import Line
+from ..transport.mesh_pb2 import ForwardReply, ForwardRequest, Frame, Piece
 from ..verdict import Verdict
 from .keeper import Job, Keeper
-from .thrift import Thrift
+from .retry_budget import RetryBudget
 
 WHOLE = 64 * 1024  # bytes of a body that go in one frame: a longer one leaves room for others between its pieces
 
@@ -26,11 +26,42 @@
 class Order:
     """What goes to an endpoint for one request, and what is known of its attempts."""
 
-    __slots__ = ("aim_at", "body", "framed", "head", "id", "inner", "live", "most", "notes", "offered", "priority",
-                 "ran", "returned", "safe", "service", "since", "tries", "turned")
-
-    def __init__(self, service: str, id: str, head: bytes, body: bytes, framed: bool, safe: bool, priority: int,
-                 aim_at: float, most: int, since: float, inner: bool, returned: bool = False) -> None:
+    __slots__ = (
+        "aim_at",
+        "body",
+        "framed",
+        "head",
+        "id",
+        "inner",
+        "live",
+        "most",
+        "notes",
+        "offered",
+        "priority",
+        "ran",
+        "returned",
+        "safe",
+        "service",
+        "since",
+        "tries",
+        "turned",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        id: str,
+        head: bytes,
+        body: bytes,
+        framed: bool,
+        safe: bool,
+        priority: int,
+        aim_at: float,
+        most: int,
+        since: float,
+        inner: bool,
+        returned: bool = False,
+    ) -> None:
         self.inner = inner
         self.returned = returned
         """It was refused before. It takes what is free and doesn't wait: in a crowd, one that is served at its first
@@ -63,8 +94,24 @@
 class Hop:
     """One attempt: an :class:`~zinclever.core.protocol.Exchange`."""
 
-    __slots__ = ("body", "copy", "counted", "ended", "job", "knocks", "line", "order", "out", "out_to", "patient",
-                 "sent", "stream", "wanted", "wire", "yielded")
+    __slots__ = (
+        "body",
+        "copy",
+        "counted",
+        "ended",
+        "job",
+        "knocks",
+        "line",
+        "order",
+        "out",
+        "out_to",
+        "patient",
+        "sent",
+        "stream",
+        "wanted",
+        "wire",
+        "yielded",
+    )
 
     def __init__(self, wire: HopWire, order: Order, ended: Ended) -> None:
         self.wire, self.order = wire, order
@@ -76,7 +123,7 @@
         self.out_to = ""
         self.counted = False
         """It stands in the budget as a further try."""
-        self.yielded: Yield | None = None
+        self.yielded: ForwardReply | None = None
         self.body: list[bytes] = []
         self.wanted = 0
 
@@ -111,8 +158,13 @@
     def on_frame(self, frame: Frame | None) -> None:
         """From the line: an answer, a piece of it, or that the link is lost."""
         if frame is None:
-            self.end(Yield(verdict=Verdict.MAYBE if self.sent else Verdict.NEVER,
-                           why="link lost" if self.sent else "no link", offered=self.sent))
+            self.end(
+                ForwardReply(
+                    verdict=Verdict.MAYBE if self.sent else Verdict.NEVER,
+                    why="link lost" if self.sent else "no link",
+                    offered=self.sent,
+                )
+            )
             return
         what = frame.WhichOneof("what")
         if what == "come" and self.knocks and self.ended is not None:
@@ -139,7 +191,7 @@
         for n in range(at, len(body), WHOLE):
             self.line.follow(Frame(stream=self.stream, piece=Piece(data=body[n : n + WHOLE])))
 
-    def end(self, made: Yield) -> None:
+    def end(self, made: ForwardReply) -> None:
         """The keeper's verdict, once."""
         ended, self.ended = self.ended, None
         if self.line is not None:
@@ -172,9 +224,15 @@
 class HopWire:
     """A :class:`~zinclever.core.protocol.Wire` for the endpoints of one service: each is reached through its keeper."""
 
-    def __init__(self, me: Address, keeper: Keeper, line: Callable[[Address], Line], thrift: Thrift,
-                 speaks: Mapping[Address, int]) -> None:
-        self.me, self.keeper, self.line, self.thrift, self.speaks = me, keeper, line, thrift, speaks
+    def __init__(
+        self,
+        me: Address,
+        keeper: Keeper,
+        line: Callable[[Address], Line],
+        retry_budget: RetryBudget,
+        speaks: Mapping[Address, int],
+    ) -> None:
+        self.me, self.keeper, self.line, self.retry_budget, self.speaks = me, keeper, line, retry_budget, speaks
         self.loop = asyncio.get_running_loop()
         self.places: dict[str, Address] = {}
         self.full_until: dict[tuple[str, bool], float] = {}
@@ -203,7 +261,7 @@
         """Links are shared by all endpoints behind them."""
 
     def close(self) -> None:
-        """The links are the colony's."""
+        """The links are the node's."""
 
     def start(self, endpoint: str, payload: Order, left: float, ended: Ended, unsafe: bool) -> Hop:
         order = payload
@@ -212,35 +270,46 @@
         now = self.loop.time()
         address = self.places.get(endpoint)
         if address is None:
-            self.loop.call_soon(hop.end, Yield(verdict=Verdict.NEVER, why="no link"))
+            self.loop.call_soon(hop.end, ForwardReply(verdict=Verdict.NEVER, why="no link"))
             return hop
         looked = order.tries >= min(LOOKS, len(self.places))
         patient = order.inner or (looked and not order.returned)
         known = not order.inner and self.full_until.get((endpoint, patient), 0.0) > now
         if known or endpoint in order.turned or (order.returned and looked):
             order.tries += 1
-            self.loop.call_soon(hop.end, Yield(verdict=Verdict.FULL, why="full a moment ago"))
+            self.loop.call_soon(hop.end, ForwardReply(verdict=Verdict.FULL, why="full a moment ago"))
             return hop
         if address != self.me and self.line(address).doubtful():
             order.tries += 1
-            self.loop.call_soon(hop.end, Yield(verdict=Verdict.FULL, why="silent"))
+            self.loop.call_soon(hop.end, ForwardReply(verdict=Verdict.FULL, why="silent"))
             return hop
         if order.offered:
-            if order.offered >= order.most or not self.thrift.may(now):
+            if order.offered >= order.most or not self.retry_budget.may(now):
                 self.counts["short"] += 1
-                order.note(f"{endpoint}: not sent, as "
-                           + ("the route allows no more" if order.offered >= order.most else "the budget is used up"))
+                order.note(
+                    f"{endpoint}: not sent, as "
+                    + ("the route allows no more" if order.offered >= order.most else "the budget is used up")
+                )
                 self.loop.call_soon(self.give_up, hop)
                 return hop
-            self.thrift.spend(now)
+            self.retry_budget.spend(now)
             hop.counted = True
             self.counts["copies"] += 1
         order.offered += 1
         self.counts["sent"] += 1
-        load = Load(
-            endpoint=endpoint, head=order.head, framed=order.framed, left_ms=max(1, int(1000 * left)),
-            aim_ms=max(0, int(1000 * (order.aim_at - now))), priority=order.priority, safe=order.safe, id=order.id,
-            length=len(order.body), inner=order.inner, copy=order.live > 0, patient=patient,
+        load = ForwardRequest(
+            endpoint=endpoint,
+            head=order.head,
+            framed=order.framed,
+            left_ms=max(1, int(1000 * left)),
+            aim_ms=max(0, int(1000 * (order.aim_at - now))),
+            priority=order.priority,
+            safe=order.safe,
+            id=order.id,
+            length=len(order.body),
+            inner=order.inner,
+            copy=order.live > 0,
+            patient=patient,
         )
         hop.copy, hop.patient = order.live > 0, patient
         order.live += 1
@@ -258,7 +327,7 @@
             hop.send_body(WHOLE)
         return hop
 
-    def start_here(self, hop: Hop, load: Load) -> None:
+    def start_here(self, hop: Hop, load: ForwardRequest) -> None:
         """The endpoint is on this very machine."""
         if hop.ended is not None:
             hop.sent = True
@@ -274,4 +343,4 @@
         hop.order.offered -= 1
         if hop.counted:
             hop.counted = False
-            self.thrift.refund(self.loop.time())
+            self.retry_budget.refund(self.loop.time())
--- a/zinclever/hive/forage/keeper.py
+++ b/zinclever/mesh/dataplane/keeper.py
@@ -18,7 +18,7 @@
 from ...fleet.limits import Connections
 from ...http1.connection import Broken, ClientConnection, Reply, dial
 from ...http1.wire import Exchange
-from ..dance.hive_pb2 import Header, Load, Yield
+from ..transport.mesh_pb2 import ForwardReply, ForwardRequest, Header
 from ..verdict import Verdict
 from .queue import Queue, Waiting
 
@@ -31,7 +31,7 @@
 AGAIN = 2  # further connections that a request is sent on at once, after one that ended before it was whole
 TAIL = b"X-Expected-Endpoint: %b\r\nX-Deadline-Ms: %d\r\n"
 
-Answer = Callable[[Yield], None]
+Answer = Callable[[ForwardReply], None]
 
 
 class Visit(Exchange):
@@ -64,9 +64,10 @@
 
     __slots__ = ("again", "answer", "body", "exchange", "load", "queue", "timer")
 
-    def __init__(self, load: Load, body: bytes, answer: Answer, now: float, queue: Queue) -> None:
-        super().__init__(now, load.left_ms / 1000.0, load.aim_ms / 1000.0, load.priority, load.inner, load.copy,
-                         load.patient)
+    def __init__(self, load: ForwardRequest, body: bytes, answer: Answer, now: float, queue: Queue) -> None:
+        super().__init__(
+            now, load.left_ms / 1000.0, load.aim_ms / 1000.0, load.priority, load.inner, load.copy, load.patient
+        )
         self.load, self.body, self.queue = load, body, queue
         self.answer: Answer | None = answer
         self.exchange: Visit | None = None
@@ -81,7 +82,8 @@
     def __init__(self, host: Host, descriptors: Descriptors) -> None:
         self.loop = asyncio.get_running_loop()
         self.pools: ExclusivePools[ClientConnection] = ExclusivePools(
-            partial(dial, host, most_body=MOST_ANSWER, stall=PATIENT), descriptors)
+            partial(dial, host, most_body=MOST_ANSWER, stall=PATIENT), descriptors
+        )
         connections = Connections(host.random())
         connections.configure(i.Shares(), 1, 0, 0)
         self.pools.configure(CONNECT_FOR, IDLE_FOR, connections)
@@ -129,33 +131,33 @@
 
     # --- jobs ---
 
-    def has_room(self, load: Load) -> Yield | None:
+    def has_room(self, load: ForwardRequest) -> ForwardReply | None:
         """Whether a load whose body is still to come would be taken now; else the verdict on it."""
         made = Job(load, b"", nowhere, self.loop.time(), self.queue)
         if load.endpoint != self.endpoint or not self.open:
             self.counts["gone"] += 1
-            return Yield(verdict=Verdict.NEVER, why="gone")
+            return ForwardReply(verdict=Verdict.NEVER, why="gone")
         if not self.queue.admits(made.since, made):
             self.counts["full"] += 1
-            return Yield(verdict=Verdict.FULL, why="queue", again_us=self.again_us())
+            return ForwardReply(verdict=Verdict.FULL, why="queue", again_us=self.again_us())
         return None
 
     def again_us(self) -> int:
         """In about how long a turn comes free."""
         return int(1e6 * self.queue.usual() / self.queue.slots)
 
-    def offer(self, load: Load, body: bytes, answer: Answer, since: float | None = None) -> Job | None:
+    def offer(self, load: ForwardRequest, body: bytes, answer: Answer, since: float | None = None) -> Job | None:
         """A request for the endpoint; ``answer`` is called once unless :meth:`cancel` comes before, maybe at once.
         ``since``: when it came, where its body took a while."""
         now = self.loop.time()
         job = Job(load, body, answer, now if since is None else since, self.queue)
         if load.endpoint != self.endpoint or not self.open:
             self.counts["gone"] += 1
-            self.tell(job, Yield(verdict=Verdict.NEVER, why="gone"))
+            self.tell(job, ForwardReply(verdict=Verdict.NEVER, why="gone"))
             return None
         if not self.queue.admits(now, job):
             self.counts["full"] += 1
-            self.tell(job, Yield(verdict=Verdict.FULL, why="queue"))
+            self.tell(job, ForwardReply(verdict=Verdict.FULL, why="queue"))
             return None
         self.jobs.add(job)
         self.queue.add(job)
@@ -212,19 +214,24 @@
         worked = now - job.begun
         if reply is None:
             proves = outcome in i.NEVER_RAN
-            made = Yield(verdict=Verdict.NEVER if proves else Verdict.MAYBE, why=outcome, offered=not proves)
+            made = ForwardReply(verdict=Verdict.NEVER if proves else Verdict.MAYBE, why=outcome, offered=not proves)
             self.counts["maybe"] += not proves
             if outcome == "connect_failed" and self.refused is not None:
                 self.refused()
         elif reply.header(b"x-not-executed") is not None:
             self.counts["full"] += 1
-            made = Yield(verdict=Verdict.FULL, status=reply.status, why="turned away", offered=True)
+            made = ForwardReply(verdict=Verdict.FULL, status=reply.status, why="turned away", offered=True)
         else:
             self.counts["ran"] += 1
-            made = Yield(verdict=Verdict.RAN, status=reply.status, body=reply.body, offered=True,
-                         headers=[Header(name=k, value=v) for k, v in reply.headers])
+            made = ForwardReply(
+                verdict=Verdict.RAN,
+                status=reply.status,
+                body=reply.body,
+                offered=True,
+                headers=[Header(name=k, value=v) for k, v in reply.headers],
+            )
             if 200 <= reply.status < 300 and not sound(reply):
-                made = Yield(verdict=Verdict.MAYBE, why="no seal", offered=True)
+                made = ForwardReply(verdict=Verdict.MAYBE, why="no seal", offered=True)
             elif reply.status < 500:
                 self.queue.learn(worked)
         job.queue.left(job)
@@ -241,7 +248,7 @@
     def turn_back(self, job: Job, verdict: Verdict, why: str) -> None:
         """A job that has not begun goes elsewhere."""
         job.queue.drop(job)
-        self.tell(job, Yield(verdict=verdict, why=why))
+        self.tell(job, ForwardReply(verdict=verdict, why=why))
 
     def expire(self, job: Job) -> None:
         """Its time is up: nobody waits for it any more."""
@@ -251,7 +258,7 @@
         self.cancel(job, silent=True)
         job.answer, answer = None, job.answer
         if answer is not None:
-            answer(Yield(verdict=Verdict.MAYBE if begun else Verdict.NEVER, why="deadline", offered=begun))
+            answer(ForwardReply(verdict=Verdict.MAYBE if begun else Verdict.NEVER, why="deadline", offered=begun))
 
     def cancel(self, job: Job, silent: bool = False) -> None:
         """It is given up: what has not begun never does, and a run is ended."""
@@ -269,7 +276,7 @@
         else:
             job.queue.drop(job)
 
-    def tell(self, job: Job, made: Yield) -> None:
+    def tell(self, job: Job, made: ForwardReply) -> None:
         if job.timer is not None:
             job.timer.cancel()
         self.jobs.discard(job)
@@ -286,7 +293,7 @@
     return bool(reply.header(b"x-server-seal")) and reply.header(b"content-encoding") in (None, b"identity")
 
 
-def nowhere(made: Yield) -> None:
+def nowhere(made: ForwardReply) -> None:
     """Of a job that is only thought of."""
 
 
--- a/zinclever/hive/forage/queue.py
+++ b/zinclever/mesh/dataplane/queue.py
@@ -16,8 +16,16 @@
 
     __slots__ = ("aim", "begun", "copy", "inner", "left", "patient", "priority", "since")
 
-    def __init__(self, since: float, left: float, aim: float, priority: int, inner: bool = False,
-                 copy: bool = False, patient: bool = True) -> None:
+    def __init__(
+        self,
+        since: float,
+        left: float,
+        aim: float,
+        priority: int,
+        inner: bool = False,
+        copy: bool = False,
+        patient: bool = True,
+    ) -> None:
         self.since, self.left, self.aim, self.priority = since, left, aim, priority
         """Instants and spans in s: when it came, what was left of its deadline then, and of its aim."""
         self.inner, self.copy, self.patient = inner, copy, patient
--- a/zinclever/hive/forage/thrift.py
+++ b/zinclever/mesh/dataplane/retry_budget.py
@@ -37,7 +37,7 @@
         return self.total
 
 
-class Thrift:
+class RetryBudget:
     """Of one service: requests that this sidecar was asked, and further tries that it made."""
 
     def __init__(self, ratio: float, window: float, slack: float) -> None:
--- a/zinclever/hive/errors.py
+++ b/zinclever/mesh/errors.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 
-class HiveError(Exception):
+class MeshError(Exception):
     """``code`` is stable and documented in ``docs/operators/mesh.md``; ``field`` is the path of what is wrong."""
 
     def __init__(self, code: str, text: str, field: str = "") -> None:
--- a/zinclever/hive/swarm/swarm.py
+++ b/zinclever/mesh/membership/gossip.py
@@ -1,7 +1,7 @@
 """One process among the others: who is there, by probes in turn; what is known, by news passed on and digests.
 
 Pure: instants (s, of any clock that only moves forward) and random numbers are handed in, and what is to be sent is
-left in :attr:`Swarm.out`. Sources: SWIM (Das and others, 2002) and Lifeguard (2018) for probes, second opinions,
+left in :attr:`Gossip.out`. Sources: SWIM (Das and others, 2002) and Lifeguard (2018) for probes, second opinions,
 suspicion and doubting oneself; Scuttlebutt (van Renesse and others, 2008) for the mending of gaps.
 """
 
@@ -13,8 +13,8 @@
 from random import Random
 
 from ...core.protocol import Address
-from ..dance.hive_pb2 import Bee, Holding, Record, Waggle
-from .records import BEE, ENDPOINT, GONE, MOST_RECORDS, VERSION, Key, Records, key, order, sound
+from ..transport.mesh_pb2 import GossipMessage, NodeInfo, Record, RecordVersion
+from .records import ENDPOINT, GONE, MOST_RECORDS, NODE, VERSION, Key, Records, key, order, sound
 
 FANOUT = 3  # peers that hot news goes to at a time
 ROUNDS = 2  # times that news is passed on by each: who is missed by all hears of it by digests, within a second or two
@@ -71,14 +71,15 @@
 
 def urgent(r: Record) -> bool:
     """Whether others have to know it within a bound."""
-    return r.kind == VERSION or (r.kind == ENDPOINT and r.rank > 0) or (r.kind == BEE and r.rank == Standing.LEFT)
+    return r.kind == VERSION or (r.kind == ENDPOINT and r.rank > 0) or (r.kind == NODE and r.rank == Standing.LEFT)
 
 
-class Swarm:
+class Gossip:
     """Feed it :meth:`tick` each TICK, :meth:`hear` with what comes, and :meth:`tell` with what is new here."""
 
-    def __init__(self, me: str, life: int, bee: Bee, seeds: Iterable[Address], now: float, rng: Random,
-                 rate: float = RATE) -> None:
+    def __init__(
+        self, me: str, life: int, info: NodeInfo, seeds: Iterable[Address], now: float, rng: Random, rate: float = RATE
+    ) -> None:
         """``rate``: bytes a second that news may take; what has a bound goes all the same, and is counted."""
         self.me, self.rng, self.seeds = me, rng, list(seeds)
         self.rate = self.credit = rate
@@ -87,7 +88,7 @@
         self.doubts = 0
         """Of itself: it rises with each probe that nobody answers, and falls with each that is answered."""
         self.records = Records()
-        self.out: list[tuple[Address, Waggle]] = []
+        self.out: list[tuple[Address, GossipMessage]] = []
         self.changed: list[tuple[Record, str]] = []
         """Records that are new here since this was last emptied, and who told them."""
         self.hot: dict[Key, int] = {}
@@ -107,24 +108,24 @@
         self.met = False
         """Another has answered a digest of ours, or told us news."""
         self.counts = {"sent": 0, "heard": 0, "dropped": 0, "suspected": 0, "dead": 0}
-        self.records.put(now, Record(kind=BEE, id=me, life=life, seq=1, rank=0, body=bee.SerializeToString()))
-        self.heat((BEE, me))
+        self.records.put(now, Record(kind=NODE, id=me, life=life, seq=1, rank=0, body=info.SerializeToString()))
+        self.heat((NODE, me))
 
     # --- who is there ---
 
-    def bee(self, name: str) -> Bee | None:
-        r = self.records.get(BEE, name)
-        return Bee.FromString(r.body) if r is not None else None
+    def node_info(self, name: str) -> NodeInfo | None:
+        r = self.records.get(NODE, name)
+        return NodeInfo.FromString(r.body) if r is not None else None
 
     def standing(self, name: str) -> Standing | None:
-        r = self.records.get(BEE, name)
+        r = self.records.get(NODE, name)
         return Standing(min(r.rank, 3)) if r is not None else None
 
     def peers(self) -> list[str]:
         """The others that are not known to be gone. Not to be changed by who asks."""
-        if self.listed != self.records.bees:
-            self.listed = self.records.bees
-            self.others = [r.id for r in self.records.all(BEE) if r.rank < GONE and r.id != self.me]
+        if self.listed != self.records.nodes:
+            self.listed = self.records.nodes
+            self.others = [r.id for r in self.records.all(NODE) if r.rank < GONE and r.id != self.me]
         return self.others
 
     def some(self, most: int, but: str = "") -> list[str]:
@@ -134,13 +135,13 @@
         return [p for p in drawn if p != but][:most]
 
     def address(self, name: str) -> Address | None:
-        bee = self.bee(name)
-        return (bee.ip, bee.port) if bee is not None else None
+        info = self.node_info(name)
+        return (info.ip, info.port) if info is not None else None
 
     def leave(self, now: float) -> None:
         """This process ends in order."""
-        mine = self.records.held[(BEE, self.me)]
-        self.tell(now, Record(kind=BEE, id=self.me, life=mine.life, seq=mine.seq, rank=Standing.LEFT, body=mine.body))
+        mine = self.records.held[(NODE, self.me)]
+        self.tell(now, Record(kind=NODE, id=self.me, life=mine.life, seq=mine.seq, rank=Standing.LEFT, body=mine.body))
 
     # --- news ---
 
@@ -166,7 +167,7 @@
             if now - receipt.at >= AGAIN:
                 receipt.at = now
                 for name in receipt.owed - receipt.received:
-                    self.send(name, Waggle(news=[receipt.record], receipt=number))
+                    self.send(name, GossipMessage(news=[receipt.record], receipt=number))
 
     def heat(self, k: Key) -> None:
         young = EAGER if self.ticked_at - self.began < YOUNG and self.spent < YOUNG_BYTES else 0
@@ -194,20 +195,20 @@
         for r in news:
             more = r.ByteSize() + 4
             if batch and size + more > MOST_NEWS:
-                self.send(name, Waggle(news=batch))
+                self.send(name, GossipMessage(news=batch))
                 batch, size = [], 0
             batch.append(r)
             size += more
         if batch:
-            self.send(name, Waggle(news=batch))
+            self.send(name, GossipMessage(news=batch))
 
-    def send(self, name: str, w: Waggle) -> None:
+    def send(self, name: str, w: GossipMessage) -> None:
         address = self.address(name)
         if address is not None:
             self.send_to(address, w)
 
-    def send_to(self, address: Address, w: Waggle) -> None:
-        w.life = self.records.held[(BEE, self.me)].life
+    def send_to(self, address: Address, w: GossipMessage) -> None:
+        w.life = self.records.held[(NODE, self.me)].life
         w.sender = self.me
         self.counts["sent"] += 1
         size = w.ByteSize()
@@ -240,23 +241,23 @@
     def mend(self, now: float) -> None:
         """A digest to one of the others, and now and then to a seed or to one that may have come back."""
         peers = self.peers()
-        digest = Waggle(sums=self.records.digest())
+        digest = GossipMessage(sums=self.records.digest())
         if peers:
             name = self.rng.choice(peers)
-            bee = self.bee(name)
-            rooted = self.met and bee is not None and bee.speaks >= ROOTS
-            self.send(name, Waggle(root=self.records.root()) if rooted else digest)
+            info = self.node_info(name)
+            rooted = self.met and info is not None and info.speaks >= ROOTS
+            self.send(name, GossipMessage(root=self.records.root()) if rooted else digest)
         if self.seeds and (not peers or not self.met or now - self.seeded_at >= SEED_EACH):
             self.seeded_at = now
             mine = self.address(self.me)
-            for seed in (self.seeds if not self.met else [self.rng.choice(self.seeds)]):
+            for seed in self.seeds if not self.met else [self.rng.choice(self.seeds)]:
                 if seed != mine:
-                    other = Waggle(sums=digest.sums, news=[self.records.held[(BEE, self.me)]])
+                    other = GossipMessage(sums=digest.sums, news=[self.records.held[(NODE, self.me)]])
                     self.send_to(seed, other)
-            gone = [r.id for r in self.records.all(BEE) if r.rank == Standing.DEAD]
+            gone = [r.id for r in self.records.all(NODE) if r.rank == Standing.DEAD]
             if gone:
                 name = self.rng.choice(gone)
-                self.send(name, Waggle(sums=digest.sums, news=[self.records.held[(BEE, name)]]))
+                self.send(name, GossipMessage(sums=digest.sums, news=[self.records.held[(NODE, name)]]))
 
     def probe(self, now: float) -> None:
         """The next of the others in turn."""
@@ -266,7 +267,7 @@
             if standing is not None and standing < GONE:
                 self.numbers += 1
                 self.probes[self.numbers] = Probe(name, now)
-                self.send(name, Waggle(ping=self.numbers))
+                self.send(name, GossipMessage(ping=self.numbers))
                 return
         self.ring = list(self.peers())
         self.rng.shuffle(self.ring)
@@ -282,7 +283,7 @@
                 probe.asked = True
                 probe.through = self.some(ASKED, but=probe.name)
                 for name in probe.through:
-                    self.send(name, Waggle(ping=number, target=probe.name))
+                    self.send(name, GossipMessage(ping=number, target=probe.name))
             elif now - probe.at >= (ANSWERS + SECOND) * patience:
                 del self.probes[number]
                 self.doubts = min(DOUBTS, self.doubts + 1)
@@ -293,20 +294,21 @@
                 del self.suspects[name]
             elif now - since >= SUSPECTED:
                 del self.suspects[name]
-                bee = self.bee(name)
-                cause = f" (by {bee.by}: {bee.why})" if bee is not None else ""
+                info = self.node_info(name)
+                cause = f" (by {info.by}: {info.why})" if info is not None else ""
                 self.think(now, name, Standing.DEAD, f"suspected for {now - since:.1f} s, and said nothing{cause}")
 
     def think(self, now: float, name: str, standing: Standing, why: str) -> None:
         """Say of another what was found, and what it is drawn from: it may refute it by a higher number."""
-        r = self.records.get(BEE, name)
+        r = self.records.get(NODE, name)
         if r is not None and r.rank < standing:
             self.counts["suspected" if standing is Standing.SUSPECT else "dead"] += 1
-            bee = Bee.FromString(r.body)
-            bee.by, bee.why = self.me, why[:MOST_WHY]
-            self.tell(now, Record(kind=BEE, id=name, life=r.life, seq=r.seq, rank=standing,
-                                  body=bee.SerializeToString()))
-            self.watch(now, self.records.held[(BEE, name)])
+            info = NodeInfo.FromString(r.body)
+            info.by, info.why = self.me, why[:MOST_WHY]
+            self.tell(
+                now, Record(kind=NODE, id=name, life=r.life, seq=r.seq, rank=standing, body=info.SerializeToString())
+            )
+            self.watch(now, self.records.held[(NODE, name)])
 
     def watch(self, now: float, r: Record) -> None:
         if r.rank == Standing.SUSPECT:
@@ -314,7 +316,7 @@
 
     # --- what comes ---
 
-    def hear(self, now: float, w: Waggle, sender: Address) -> None:
+    def hear(self, now: float, w: GossipMessage, sender: Address) -> None:
         """A datagram of another."""
         name = w.sender
         if not name or name == self.me:
@@ -324,10 +326,10 @@
         fresh = False
         for r in w.news:
             fresh = self.take(now, r, name) or fresh
-        if self.records.get(BEE, name) is not None:  # whoever else writes is not remembered
+        if self.records.get(NODE, name) is not None:  # whoever else writes is not remembered
             self.heard[name] = now
         if w.receipt:
-            self.send(name, Waggle(received=w.receipt))
+            self.send(name, GossipMessage(received=w.receipt))
         if w.received and w.received in self.receipts:
             self.receipts[w.received].received.add(name)
         if w.ping:
@@ -335,24 +337,24 @@
         if w.ack:
             favour = self.favours.pop(w.ack, None)
             if favour is not None:
-                self.send(favour[0], Waggle(ack=favour[1], target=name))
+                self.send(favour[0], GossipMessage(ack=favour[1], target=name))
             probe = self.probes.pop(w.ack, None)
             if probe is not None and probe.name != name:
                 self.heard[probe.name] = now
-        mine = self.records.get(BEE, name)
+        mine = self.records.get(NODE, name)
         if mine is not None and mine.rank in (Standing.SUSPECT, Standing.DEAD) and w.life >= mine.life:
-            self.send(name, Waggle(news=[mine]))  # it hears what is thought of it, and may refute that
+            self.send(name, GossipMessage(news=[mine]))  # it hears what is thought of it, and may refute that
         if w.root == self.records.root():
             self.met = True
         elif w.root:
-            self.reply(name, sender, Waggle(sums=self.records.digest()))
+            self.reply(name, sender, GossipMessage(sums=self.records.digest()))
         if w.sums:
             self.compare(w, name, sender)
         if w.ranges:
             lacks, wanted = self.records.compare(w.ranges, w.holdings)
             self.send_news(name, lacks)
             for at in range(0, len(wanted), MOST_HOLDINGS):
-                self.reply(name, sender, Waggle(wanted=wanted[at : at + MOST_HOLDINGS]))
+                self.reply(name, sender, GossipMessage(wanted=wanted[at : at + MOST_HOLDINGS]))
             self.met = True
         if w.wanted:
             self.send_news(name, [self.records.held[key(h)] for h in w.wanted if key(h) in self.records.held])
@@ -363,12 +365,13 @@
     def take(self, now: float, r: Record, teller: str) -> bool:
         """A record from another; whether it is new here."""
         k = key(r)
-        if k == (BEE, self.me):
+        if k == (NODE, self.me):
             mine = self.records.held[k]
             if order(r) > order(mine) and (r.rank or r.life > mine.life):
                 # Somebody thinks this process gone, or an earlier life of it had a clock that was ahead.
-                self.tell(now, Record(kind=BEE, id=self.me, life=r.life, seq=r.seq + 1, rank=mine.rank,
-                                      body=mine.body))
+                self.tell(
+                    now, Record(kind=NODE, id=self.me, life=r.life, seq=r.seq + 1, rank=mine.rank, body=mine.body)
+                )
                 self.counts["refuted"] = self.counts.get("refuted", 0) + 1
             return False
         if not sound(r) or (k not in self.records.held and len(self.records.held) >= MOST_RECORDS):
@@ -376,39 +379,39 @@
             return False
         if not self.records.put(now, r):
             return False
-        if r.kind == BEE:
+        if r.kind == NODE:
             self.watch(now, r)
         self.changed.append((r, teller))
         self.heat(k)
         return True
 
-    def answer(self, now: float, w: Waggle, name: str) -> None:
+    def answer(self, now: float, w: GossipMessage, name: str) -> None:
         if not w.target:
-            self.send(name, Waggle(ack=w.ping))
+            self.send(name, GossipMessage(ack=w.ping))
         elif self.address(w.target) is not None:
             self.numbers += 1
             self.favours[self.numbers] = (name, w.ping)
             if len(self.favours) > 64:
                 self.favours.pop(next(iter(self.favours)))
-            self.send(w.target, Waggle(ping=self.numbers))
+            self.send(w.target, GossipMessage(ping=self.numbers))
 
-    def compare(self, w: Waggle, name: str, sender: Address) -> None:
+    def compare(self, w: GossipMessage, name: str, sender: Address) -> None:
         """The holdings of ranges that differ, in datagrams of a bounded size."""
         ranges: list[int] = []
-        holdings: list[Holding] = []
+        holdings: list[RecordVersion] = []
         for n in self.records.differing(w.sums):
             here = self.records.holdings(n)
             if ranges and len(holdings) + len(here) > MOST_HOLDINGS:
-                self.reply(name, sender, Waggle(ranges=ranges, holdings=holdings))
+                self.reply(name, sender, GossipMessage(ranges=ranges, holdings=holdings))
                 ranges, holdings = [], []
             ranges.append(n)
             holdings += here
         if ranges:
-            self.reply(name, sender, Waggle(ranges=ranges, holdings=holdings))
+            self.reply(name, sender, GossipMessage(ranges=ranges, holdings=holdings))
         else:
             self.met = True
 
-    def reply(self, name: str, sender: Address, w: Waggle) -> None:
+    def reply(self, name: str, sender: Address, w: GossipMessage) -> None:
         """To one that may not be known by name yet."""
         if self.address(name) is not None:
             self.send(name, w)
--- a/zinclever/hive/swarm/ground.py
+++ b/zinclever/mesh/membership/gossip_socket.py
@@ -1,4 +1,4 @@
-"""The datagrams of one process, and the clock that its swarm goes by."""
+"""The datagrams of one process, and the clock that its gossip goes by."""
 
 from __future__ import annotations
 
@@ -10,17 +10,17 @@
 from google.protobuf.message import DecodeError
 
 from ...core.protocol import Address
-from ..dance.hive_pb2 import Record, Waggle
-from .swarm import TICK, Swarm
+from ..transport.mesh_pb2 import GossipMessage, Record
+from .gossip import TICK, Gossip
 
 log = logging.getLogger(__name__)
 
 
-class Ground(asyncio.DatagramProtocol):
+class GossipSocket(asyncio.DatagramProtocol):
     """Owns the socket and the timer from :meth:`listen` to :meth:`close`."""
 
-    def __init__(self, swarm: Swarm, changed: Callable[[Record, str], None]) -> None:
-        self.swarm, self.changed = swarm, changed
+    def __init__(self, gossip: Gossip, changed: Callable[[Record, str], None]) -> None:
+        self.gossip, self.changed = gossip, changed
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -35,11 +35,11 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
-            waggle = Waggle.FromString(data)
+            message = GossipMessage.FromString(data)
         except DecodeError:
-            self.swarm.counts["dropped"] += 1
+            self.gossip.counts["dropped"] += 1
             return
-        self.swarm.hear(self.loop.time(), waggle, (addr[0], addr[1]))
+        self.gossip.hear(self.loop.time(), message, (addr[0], addr[1]))
         self.flush()
 
     def error_received(self, exc: Exception) -> None:
@@ -47,25 +47,25 @@
 
     def turn(self) -> None:
         self.timer = self.loop.call_later(TICK, self.turn)
-        self.swarm.tick(self.loop.time())
+        self.gossip.tick(self.loop.time())
         self.flush()
 
     def flush(self) -> None:
         """Send what is to be sent, and tell of what is new."""
-        out, self.swarm.out = self.swarm.out, []
+        out, self.gossip.out = self.gossip.out, []
         if self.transport is not None:
-            for address, waggle in out:
-                self.transport.sendto(waggle.SerializeToString(), address)
+            for address, message in out:
+                self.transport.sendto(message.SerializeToString(), address)
         if self.telling:
             return
         self.telling = True
         try:
-            while self.swarm.changed:
-                record, teller = self.swarm.changed.pop(0)
+            while self.gossip.changed:
+                record, teller = self.gossip.changed.pop(0)
                 self.changed(record, teller)
         finally:
             self.telling = False
-        if self.swarm.out:
+        if self.gossip.out:
             self.flush()
 
     def close(self) -> None:
--- a/zinclever/hive/swarm/records.py
+++ b/zinclever/mesh/membership/records.py
@@ -8,9 +8,9 @@
 
 from google.protobuf.message import DecodeError
 
-from ..dance.hive_pb2 import Bee, Cell, Holding, Record, Sum, Version
+from ..transport.mesh_pb2 import EndpointInfo, NodeInfo, RangeDigest, Record, RecordVersion, Version
 
-BEE, ENDPOINT, VERSION = 1, 2, 3
+NODE, ENDPOINT, VERSION = 1, 2, 3
 RANGES = 64
 MOST_RECORDS = 100_000  # that are held: a mesh has a few for each machine
 MOST_RECORD = 1000  # bytes of one's body
@@ -22,18 +22,22 @@
 Order = tuple[int, int, int]
 
 
-def order(r: Record | Holding) -> Order:
+def order(r: Record | RecordVersion) -> Order:
     """Of two records with the same key the higher one holds."""
     return r.life, r.seq, r.rank
 
 
-def key(r: Record | Holding) -> Key:
+def key(r: Record | RecordVersion) -> Key:
     return r.kind, r.id
 
 
 def sound(r: Record) -> bool:
     """Whether a record is one of the mesh's: of a known kind, with a body that can be read."""
-    bodies: dict[int, type[Bee] | type[Cell] | type[Version]] = {BEE: Bee, ENDPOINT: Cell, VERSION: Version}
+    bodies: dict[int, type[NodeInfo] | type[EndpointInfo] | type[Version]] = {
+        NODE: NodeInfo,
+        ENDPOINT: EndpointInfo,
+        VERSION: Version,
+    }
     if r.kind not in bodies or not r.id or len(r.body) > MOST_RECORD:
         return False
     try:
@@ -61,7 +65,7 @@
         self.ended: dict[Key, float] = {}
         """When records of what has ended came: the oldest first."""
         self.faded: set[Key] = set()
-        self.bees = 0
+        self.nodes = 0
         """Rises with every change of what is known of processes."""
         self.sums = [0] * RANGES
         self.keys: list[set[Key]] = [set() for _ in range(RANGES)]
@@ -81,7 +85,7 @@
         if old is not None:
             self.remove(k)
         self.held[k] = r
-        self.bees += r.kind == BEE
+        self.nodes += r.kind == NODE
         at = range_of(k)
         self.sums[at] ^= mark(k, order(r))
         self.keys[at].add(k)
@@ -91,7 +95,7 @@
 
     def remove(self, k: Key) -> None:
         r = self.held.pop(k)
-        self.bees += r.kind == BEE
+        self.nodes += r.kind == NODE
         self.ended.pop(k, None)
         if k in self.faded:
             self.faded.discard(k)
@@ -114,8 +118,8 @@
             if now - at >= FORGOTTEN:
                 self.remove(k)
 
-    def digest(self) -> list[Sum]:
-        return [Sum(range=n, hash=s) for n, s in enumerate(self.sums) if s]
+    def digest(self) -> list[RangeDigest]:
+        return [RangeDigest(range=n, hash=s) for n, s in enumerate(self.sums) if s]
 
     def root(self) -> int:
         """Of the whole digest; never 0."""
@@ -124,23 +128,28 @@
             made ^= s
         return made or 1
 
-    def differing(self, sums: Iterable[Sum]) -> list[int]:
+    def differing(self, sums: Iterable[RangeDigest]) -> list[int]:
         """The ranges in which another holds something else."""
         theirs = {s.range: s.hash for s in sums if s.range < RANGES}
         return [n for n, s in enumerate(self.sums) if s != theirs.get(n, 0)]
 
-    def holdings(self, n: int) -> list[Holding]:
+    def holdings(self, n: int) -> list[RecordVersion]:
         found = []
         for k in self.keys[n]:
             r = self.held[k]
-            found.append(Holding(kind=r.kind, id=r.id, life=r.life, seq=r.seq, rank=r.rank))
+            found.append(RecordVersion(kind=r.kind, id=r.id, life=r.life, seq=r.seq, rank=r.rank))
         return found
 
-    def compare(self, ranges: Iterable[int], theirs: Iterable[Holding]) -> tuple[list[Record], list[Holding]]:
+    def compare(
+        self, ranges: Iterable[int], theirs: Iterable[RecordVersion]
+    ) -> tuple[list[Record], list[RecordVersion]]:
         """What another lacks of these ranges, and what is to be asked of it."""
         told = {key(h): h for h in theirs}
         lacks = [
-            self.held[k] for n in ranges if n < RANGES for k in self.keys[n]
+            self.held[k]
+            for n in ranges
+            if n < RANGES
+            for k in self.keys[n]
             if k not in told or order(told[k]) < order(self.held[k])
         ]
         wanted = [h for k, h in told.items() if k not in self.held or order(self.held[k]) < order(h)]
--- a/zinclever/hive/model/explore.py
+++ b/zinclever/mesh/model/explore.py
@@ -1,8 +1,9 @@
-"""Every order in which a few things may happen to three members: a small model checker for the order.
+"""Every order in which a few things may happen to three members: a small model checker for the replicas.
 
 A state is what the members are, what is under way between them, and what may still befall them. From each state every
 move is tried; states that were seen are not entered again. Words that are said each turn anyway arrive at once, so that
-what is explored is what matters: courting, promises, proposals and answers, in any order, lost or doubled, and a crash
+what is explored is what matters: pending_vote_requests, votes, proposals and answers, in any order, lost or doubled,
+and a crash
 before or after any sync.
 """
 
@@ -14,11 +15,11 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from ..comb.acts import Kind, Reply, Save, Say, Settle, Vow
-from ..comb.order import Order
-from ..dance.hive_pb2 import Change, Comb, Seat
+from ..consensus.messages import Commit, Kind, Persist, Reply, Send, Vote
+from ..consensus.replica import Replica
+from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
 
-STEP = 0.9  # s that pass in a turn: whoever doesn't hear from the one that acts tries to act
+ELECTION_STAGGER = 0.9  # s that pass in a turn: whoever doesn't receive from the leader tries to act
 
 
 class Broken(AssertionError):
@@ -38,54 +39,63 @@
 
 @dataclass
 class State:
-    orders: list[Order]
-    disks: list[tuple[Vow, Change | None]]
+    orders: list[Replica]
+    disk_ids: list[tuple[Vote, LogEntry | None]]
     names: list[str]
-    saving: list[list[Save]]
+    persisting: list[list[Persist]]
     post: list[tuple[int, bytes]] = field(default_factory=list)
     budget: Budget = field(default_factory=Budget)
     now: float = 10.0
-    settled: dict[int, bytes] = field(default_factory=dict)
+    committed: dict[int, bytes] = field(default_factory=dict)
     acked: list[tuple[int, int]] = field(default_factory=list)
     """Base and generation of what was acknowledged."""
-    epochs: list[int] = field(default_factory=lambda: [0, 0, 0])
+    terms: list[int] = field(default_factory=lambda: [0, 0, 0])
 
     def key(self) -> bytes:
         """States with the same key go on alike."""
         made = hashlib.blake2b(digest_size=16)
-        for o, d, s in zip(self.orders, self.disks, self.saving, strict=True):
+        for o, d, s in zip(self.orders, self.disk_ids, self.persisting, strict=True):
             told = (
-                o.phase.name, o.vow, o.epoch, o.acting, sorted(o.promises), sorted(o.have), len(o.calls.waiting),
-                o.calls.current and o.calls.current.generation, d[0], round(self.now - o.heard_acting, 1) < 0.5,
-                [(a.vow, a.token - o.token) for a in s],
+                o.role.name,
+                o.vote,
+                o.term,
+                o.leader,
+                sorted(o.votes),
+                sorted(o.have),
+                len(o.calls.waiting),
+                o.calls.current and o.calls.current.generation,
+                d[0],
+                round(self.now - o.leader_heard_at, 1) < 0.5,
+                [(a.vote, a.token - o.token) for a in s],
             )
             made.update(repr(told).encode())
-            for change in (o.accepted, o.settled, o.proposed, d[1]):
-                made.update(b"-" if change is None else change.SerializeToString(deterministic=True))
+            for entry in (o.accepted, o.committed, o.proposed, d[1]):
+                made.update(b"-" if entry is None else entry.SerializeToString(deterministic=True))
         made.update(repr((sorted(self.post), self.budget, round(self.now, 1), self.acked)).encode())
         return made.digest()
 
 
 class Explorer:
-    """Explores from a founded view, with two operators' changes on one version asked of the one that acts."""
+    """Explores from a founding_size voters, with two operators' entries on one version asked of the leader."""
 
-    def __init__(self, kind: type[Order] = Order, budget: Budget | None = None) -> None:
+    def __init__(self, kind: type[Replica] = Replica, budget: Budget | None = None) -> None:
         self.kind = kind
-        seats = [Seat(disk=f"d{n}", name=f"m{n}", ip=f"10.0.0.{n}", port=1) for n in range(3)]
-        self.seats = seats
-        first = Change(epoch=1, number=1, seats=seats, founded=3)
-        orders = [kind(s, [(x.ip, 1) for x in seats], False, 1, 10.0, Vow(1, "d0"), copy.deepcopy(first))
-                  for s in seats]
-        state = State(orders, [(Vow(1, "d0"), first)] * 3, ["d0", "d1", "d2"], [[], [], []])
+        voters = [Voter(disk=f"d{n}", name=f"m{n}", ip=f"10.0.0.{n}", port=1) for n in range(3)]
+        self.voters = voters
+        first = LogEntry(term=1, number=1, voters=voters, founding_size=3)
+        orders = [
+            kind(s, [(x.ip, 1) for x in voters], False, 1, 10.0, Vote(1, "d0"), copy.deepcopy(first)) for s in voters
+        ]
+        state = State(orders, [(Vote(1, "d0"), first)] * 3, ["d0", "d1", "d2"], [[], [], []])
         state.budget = budget or Budget()
         for o in orders:
-            o.deliver(10.0, first)
+            o.commit(10.0, first)
             o.out.clear()
-            o.heard = {s.disk: 10.0 for s in seats if s.disk != o.me.disk}
-            o.acting, o.heard_acting = "d0", 10.0
+            o.heard_at = {s.disk: 10.0 for s in voters if s.disk != o.me.disk}
+            o.leader, o.leader_heard_at = "d0", 10.0
         o = orders[0]
-        o.epoch = 1
-        o.become(type(o.phase).ACTS, 10.0)
+        o.term = 1
+        o.become(type(o.role).LEADER, 10.0)
         o.put(10.0, 1, 0, 1, b"one", b"one")
         o.put(10.0, 2, 0, 2, b"two", b"two")
         self.start = state
@@ -116,22 +126,22 @@
         for n, item in enumerate(state.post):
             if item in state.post[:n]:
                 continue
-            yield self.deliver(state, n, keep=False)
+            yield self.commit(state, n, keep=False)
             if b.losses:
                 made = copy.deepcopy(state)
                 del made.post[n]
                 made.budget.losses -= 1
                 yield made
             if b.doubles:
-                made = self.deliver(state, n, keep=True)
+                made = self.commit(state, n, keep=True)
                 made.budget.doubles -= 1
                 yield made
         for n in range(3):
-            if state.saving[n]:
+            if state.persisting[n]:
                 made = copy.deepcopy(state)
-                act = made.saving[n].pop(0)
+                act = made.persisting[n].pop(0)
                 self.write(made, n, act)
-                made.orders[n].saved(made.now, act.token, True)
+                made.orders[n].persisted(made.now, act.token, True)
                 self.settle_down(made)
                 yield made
             if b.crashes:
@@ -143,38 +153,39 @@
                 made = copy.deepcopy(state)
                 made.budget.wipes -= 1
                 made.names[n] = f"e{n}"
-                made.disks[n] = (Vow(0, ""), None)
+                made.disk_ids[n] = (Vote(0, ""), None)
                 self.restart(made, n)
                 yield made
         if b.turns:
             made = copy.deepcopy(state)
             made.budget.turns -= 1
-            made.now += STEP
+            made.now += ELECTION_STAGGER
             for o in made.orders:
                 for other in made.orders:
                     if other is not o:
-                        o.heard[other.me.disk] = made.now
+                        o.heard_at[other.me.disk] = made.now
                 o.tick(made.now)
             self.settle_down(made)
             yield made
 
-    def deliver(self, state: State, n: int, keep: bool) -> State:
+    def commit(self, state: State, n: int, keep: bool) -> State:
         made = copy.deepcopy(state)
         to, data = made.post[n] if keep else made.post.pop(n)
-        made.orders[to].hear(made.now, Comb.FromString(data))
+        made.orders[to].receive(made.now, ConsensusMessage.FromString(data))
         self.settle_down(made)
         return made
 
-    def write(self, state: State, n: int, act: Save) -> None:
-        state.disks[n] = (act.vow, act.accepted if act.accepted is not None else state.disks[n][1])
+    def write(self, state: State, n: int, act: Persist) -> None:
+        state.disk_ids[n] = (act.vote, act.accepted if act.accepted is not None else state.disk_ids[n][1])
 
     def restart(self, state: State, n: int) -> None:
-        seat = Seat(disk=state.names[n], name=f"m{n}", ip=f"10.0.0.{n}", port=1)
-        vow, accepted = state.disks[n]
-        state.orders[n] = self.kind(seat, [(x.ip, 1) for x in self.seats], False, 1, state.now, vow,
-                                    copy.deepcopy(accepted))
-        state.saving[n] = []
-        state.epochs[n] = 0
+        voter = Voter(disk=state.names[n], name=f"m{n}", ip=f"10.0.0.{n}", port=1)
+        vote, accepted = state.disk_ids[n]
+        state.orders[n] = self.kind(
+            voter, [(x.ip, 1) for x in self.voters], False, 1, state.now, vote, copy.deepcopy(accepted)
+        )
+        state.persisting[n] = []
+        state.terms[n] = 0
 
     def settle_down(self, state: State) -> None:
         """Carry out what the members want: saves and messages wait for a move of their own."""
@@ -185,45 +196,45 @@
                 acts, o.out = o.out, []
                 for act in acts:
                     busy = True
-                    if isinstance(act, Save):
-                        state.saving[n].append(act)
-                    elif isinstance(act, Settle):
-                        self.settled(state, act.change)
+                    if isinstance(act, Persist):
+                        state.persisting[n].append(act)
+                    elif isinstance(act, Commit):
+                        self.committed(state, act.entry)
                     elif isinstance(act, Reply):
                         if act.status == 200:
                             state.acked.append((0, act.call))
-                    elif isinstance(act, Say):
+                    elif isinstance(act, Send):
                         self.post(state, n, act)
 
-    def post(self, state: State, n: int, act: Say) -> None:
+    def post(self, state: State, n: int, act: Send) -> None:
         data = act.message.SerializeToString(deterministic=True)
-        to = next((k for k, s in enumerate(self.seats) if s.ip == act.to.ip), None)
+        to = next((k for k, s in enumerate(self.voters) if s.ip == act.to.ip), None)
         if to is None:
             return
-        if to == n or act.message.kind == Kind.HELLO:
-            state.orders[to].hear(state.now, Comb.FromString(data))
+        if to == n or act.message.kind == Kind.HEARTBEAT:
+            state.orders[to].receive(state.now, ConsensusMessage.FromString(data))
         elif (to, data) not in state.post:
             state.post.append((to, data))
 
     # --- what must hold ---
 
-    def settled(self, state: State, change: Change) -> None:
-        kept = copy.deepcopy(change)
-        kept.epoch = 0
+    def committed(self, state: State, entry: LogEntry) -> None:
+        kept = copy.deepcopy(entry)
+        kept.term = 0
         text = kept.SerializeToString(deterministic=True)
-        if state.settled.setdefault(change.number, text) != text:
-            raise Broken(f"two changes are settled under number {change.number}")
+        if state.committed.setdefault(entry.number, text) != text:
+            raise Broken(f"two entries are committed under number {entry.number}")
 
     def check(self, state: State) -> None:
         if len({g for _, g in state.acked}) > 1:
-            raise Broken("two changes on one version are acknowledged")
+            raise Broken("two entries on one version are acknowledged")
         for _, generation in state.acked:
-            have = sum(d[1] is not None and d[1].generation >= generation for d in state.disks)
+            have = sum(d[1] is not None and d[1].generation >= generation for d in state.disk_ids)
             if have < 2 - (state.names != ["d0", "d1", "d2"]):
-                raise Broken("what is acknowledged is on fewer disks than may be lost")
+                raise Broken("what is acknowledged is on fewer disk_ids than may be lost")
         for n, o in enumerate(state.orders):
-            if o.vow.epoch < state.epochs[n]:
-                raise Broken("an epoch goes back")
-            state.epochs[n] = o.vow.epoch
-            if o.vow.epoch < state.disks[n][0].epoch:
-                raise Broken("an epoch goes below what is on the disk")
+            if o.vote.term < state.terms[n]:
+                raise Broken("a term goes back")
+            state.terms[n] = o.vote.term
+            if o.vote.term < state.disk_ids[n][0].term:
+                raise Broken("a term goes below what is on the disk")
--- a/zinclever/hive/model/field.py
+++ b/zinclever/mesh/model/field.py
@@ -6,9 +6,9 @@
 import itertools
 import random
 
-from ..dance.hive_pb2 import Bee, Record, Waggle
-from ..swarm.records import ENDPOINT
-from ..swarm.swarm import TICK, Swarm
+from ..membership.gossip import TICK, Gossip
+from ..membership.records import ENDPOINT
+from ..transport.mesh_pb2 import GossipMessage, NodeInfo, Record
 
 Address = tuple[str, int]
 
@@ -22,7 +22,7 @@
         self.now = 0.0
         self.loss = loss
         self.doubles = 0.0
-        self.swarms: dict[str, Swarm] = {}
+        self.gossips: dict[str, Gossip] = {}
         self.cut: set[tuple[str, str]] = set()
         self.frozen: dict[str, list[tuple[bytes, Address]]] = {}
         self.agenda: list[tuple[float, int, str, bytes, Address]] = []
@@ -39,8 +39,8 @@
 
     def add(self, name: str, life: int = 1) -> None:
         ip, port = self.address(name)
-        bee = Bee(ip=ip, port=port, role="forager", speaks=self.speaks)
-        self.swarms[name] = Swarm(name, life, bee, self.seeds, self.now, random.Random(self.rng.random()))
+        info = NodeInfo(ip=ip, port=port, role="forager", speaks=self.speaks)
+        self.gossips[name] = Gossip(name, life, info, self.seeds, self.now, random.Random(self.rng.random()))
         self.turn_at(name, self.now + TICK * self.rng.random())
 
     def turn_at(self, name: str, at: float) -> None:
@@ -50,32 +50,32 @@
         until = self.now + span
         while self.agenda and self.agenda[0][0] <= until:
             self.now, _, name, data, sender = heapq.heappop(self.agenda)
-            swarm = self.swarms.get(name)
+            gossip = self.gossips.get(name)
             if not data:
-                if swarm is None:
+                if gossip is None:
                     continue
                 self.turn_at(name, self.now + TICK)
                 if name not in self.frozen:
-                    swarm.tick(self.now)
+                    gossip.tick(self.now)
             elif name in self.frozen:
                 self.frozen[name].append((data, sender))
                 continue
-            elif swarm is not None:
-                swarm.hear(self.now, Waggle.FromString(data), sender)
-            if swarm is not None and name not in self.frozen:
+            elif gossip is not None:
+                gossip.hear(self.now, GossipMessage.FromString(data), sender)
+            if gossip is not None and name not in self.frozen:
                 self.flush(name)
         self.now = until
 
     def flush(self, name: str) -> None:
-        swarm = self.swarms[name]
-        out, swarm.out = swarm.out, []
-        for record, _ in swarm.changed:
+        gossip = self.gossips[name]
+        out, gossip.out = gossip.out, []
+        for record, _ in gossip.changed:
             if record.kind == 1 and record.rank == 2:
                 self.deaths.append((self.now, name, record.id))
-        swarm.changed.clear()
-        names = {self.address(n): n for n in self.swarms} if len(self.swarms) < 30 else self.book()
-        for address, waggle in out:
-            data = waggle.SerializeToString()
+        gossip.changed.clear()
+        names = {self.address(n): n for n in self.gossips} if len(self.gossips) < 30 else self.book()
+        for address, message in out:
+            data = message.SerializeToString()
             self.bytes += len(data)
             self.datagrams += 1
             self.longest = max(self.longest, len(data))
@@ -88,8 +88,8 @@
                     heapq.heappush(self.agenda, (at, next(self.order), to, data, self.address(name)))
 
     def book(self) -> dict[Address, str]:
-        if not hasattr(self, "known") or len(self.known) != len(self.swarms):
-            self.known: dict[Address, str] = {self.address(n): n for n in self.swarms}
+        if not hasattr(self, "known") or len(self.known) != len(self.gossips):
+            self.known: dict[Address, str] = {self.address(n): n for n in self.gossips}
         return self.known
 
     def freeze(self, name: str) -> None:
@@ -98,22 +98,24 @@
     def thaw(self, name: str) -> None:
         """What the kernel held is read first."""
         for data, sender in self.frozen.pop(name):
-            self.swarms[name].hear(self.now, Waggle.FromString(data), sender)
+            self.gossips[name].hear(self.now, GossipMessage.FromString(data), sender)
         self.flush(name)
 
     def tell(self, name: str, record: Record) -> None:
-        self.swarms[name].tell(self.now, record)
+        self.gossips[name].tell(self.now, record)
         self.flush(name)
 
     def knowing(self, record: Record) -> int:
         return sum(
-            (r := s.records.get(record.kind, record.id)) is not None and (r.life, r.seq, r.rank) == (
-                record.life, record.seq, record.rank) for s in self.swarms.values())
+            (r := s.records.get(record.kind, record.id)) is not None
+            and (r.life, r.seq, r.rank) == (record.life, record.seq, record.rank)
+            for s in self.gossips.values()
+        )
 
     def until_all_know(self, record: Record, most: float = 10.0) -> float:
         """s until everybody knows a piece of news."""
         began = self.now
-        while self.knowing(record) < len(self.swarms):
+        while self.knowing(record) < len(self.gossips):
             self.run(0.02)
             if self.now - began > most:
                 return float("inf")
