--- a/zinclever/hive/model/members.py
+++ b/zinclever/mesh/model/members.py
@@ -1,4 +1,4 @@
-"""A world of members of the core for tests: messages that are lost, doubled and late, disks that are lost, machines
+"""A world of members of the core for tests: messages that are lost, doubled and late, disk_ids that are lost, machines
 that are replaced. Everything that happens is drawn from one seed."""
 
 from __future__ import annotations
@@ -7,9 +7,9 @@
 import random
 from dataclasses import dataclass, field
 
-from ..comb.acts import Reply, Save, Say, Settle, Vow
-from ..comb.order import Order
-from ..dance.hive_pb2 import Change, Comb, Seat
+from ..consensus.messages import Commit, Persist, Reply, Send, Vote
+from ..consensus.replica import Replica
+from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
 from .histories import Call, Told
 
 
@@ -18,8 +18,8 @@
     """What is synced. An empty one has a new identity."""
 
     name: str
-    vow: Vow | None = None
-    accepted: Change | None = None
+    vote: Vote | None = None
+    accepted: LogEntry | None = None
 
 
 @dataclass
@@ -27,29 +27,29 @@
     ip: str
     disk: Disk
     bootstrap: bool
-    order: Order | None = None
-    saving: list[Save] = field(default_factory=list)
+    replica: Replica | None = None
+    persisting: list[Persist] = field(default_factory=list)
     """Asked for and not synced yet, in order."""
-    epochs: int = 0
+    terms: int = 0
 
 
 class World:
     """Members by address. A clock of its own for each, all moving alike."""
 
-    def __init__(self, seed: int, members: int = 3, losses: int = 1, kind: type[Order] = Order) -> None:
+    def __init__(self, seed: int, members: int = 3, losses: int = 1, kind: type[Replica] = Replica) -> None:
         self.rng = random.Random(seed)
         self.now, self.losses, self.kind = 0.0, losses, kind
         self.founders = [(f"10.0.0.{n}", 1) for n in range(members)]
         self.machines: dict[str, Machine] = {}
-        self.post: list[tuple[float, str, str, Comb]] = []
+        self.post: list[tuple[float, str, str, ConsensusMessage]] = []
         self.cut: set[tuple[str, str]] = set()
         self.full: set[str] = set()
-        """Machines whose disks take nothing."""
+        """Machines whose disk_ids take nothing."""
         self.loss = self.doubles = 0.0
         self.delay = 0.002
         self.synced = 0.8
-        """The chance that a save is done within a step."""
-        self.disks = 0
+        """The chance that a persist is done within a step."""
+        self.disk_ids = 0
         self.calls = 0
         self.asked: dict[int, Call] = {}
         """Calls that are out."""
@@ -58,54 +58,54 @@
         self.acked: dict[int, bytes] = {}
         """Acknowledged: generation and text."""
         self.winners: dict[int, set[int]] = {}
-        """By the version that a change was made on: generations that were acknowledged."""
+        """By the version that an entry was made on: generations that were acknowledged."""
         self.refused: list[tuple[int, int]] = []
-        self.settled: dict[int, bytes] = {}
-        """By number: the change, but for its epoch."""
+        self.committed: dict[int, bytes] = {}
+        """By number: the entry, but for its term."""
         for ip, _ in self.founders:
             self.add(ip, bootstrap=True)
 
     # --- machines ---
 
     def add(self, ip: str, bootstrap: bool = False) -> None:
-        self.disks += 1
-        self.machines[ip] = Machine(ip, Disk(f"d{self.disks}"), bootstrap)
+        self.disk_ids += 1
+        self.machines[ip] = Machine(ip, Disk(f"d{self.disk_ids}"), bootstrap)
         self.start(ip)
 
     def start(self, ip: str) -> None:
         m = self.machines[ip]
-        seat = Seat(disk=m.disk.name, name=ip, ip=ip, port=1)
+        voter = Voter(disk=m.disk.name, name=ip, ip=ip, port=1)
         accepted = None
         if m.disk.accepted is not None:
-            accepted = Change()
+            accepted = LogEntry()
             accepted.CopyFrom(m.disk.accepted)
-        m.order = self.kind(seat, self.founders, m.bootstrap, self.losses, self.now, m.disk.vow, accepted)
-        m.order.known = [(o, 1) for o in self.machines]
-        m.saving = []
+        m.replica = self.kind(voter, self.founders, m.bootstrap, self.losses, self.now, m.disk.vote, accepted)
+        m.replica.known = [(o, 1) for o in self.machines]
+        m.persisting = []
 
     def kill(self, ip: str, some: bool = True) -> None:
         """Power is lost: of what is not synced a first part may be on the disk."""
         m = self.machines[ip]
-        if some and m.saving:
-            for act in m.saving[: self.rng.randrange(len(m.saving) + 1)]:
+        if some and m.persisting:
+            for act in m.persisting[: self.rng.randrange(len(m.persisting) + 1)]:
                 self.write(m, act)
-        m.order = None
-        m.saving = []
+        m.replica = None
+        m.persisting = []
 
     def wipe(self, ip: str) -> None:
         self.kill(ip, some=False)
-        self.disks += 1
-        self.machines[ip].disk = Disk(f"d{self.disks}")
+        self.disk_ids += 1
+        self.machines[ip].disk = Disk(f"d{self.disk_ids}")
         self.machines[ip].bootstrap = False
 
     def remove(self, ip: str) -> None:
         self.kill(ip)
         del self.machines[ip]
 
-    def write(self, m: Machine, act: Save) -> None:
-        m.disk.vow = act.vow
+    def write(self, m: Machine, act: Persist) -> None:
+        m.disk.vote = act.vote
         if act.accepted is not None:
-            m.disk.accepted = Change()
+            m.disk.accepted = LogEntry()
             m.disk.accepted.CopyFrom(act.accepted)
 
     # --- time ---
@@ -121,42 +121,42 @@
             self.rng.shuffle(due)
             for _, sender, to, message in due:
                 m = self.machines.get(to)
-                if m is not None and m.order is not None and (sender, to) not in self.cut:
-                    m.order.hear(self.now, message)
+                if m is not None and m.replica is not None and (sender, to) not in self.cut:
+                    m.replica.receive(self.now, message)
                     self.carry_out(m)
 
     def step(self, ip: str) -> None:
         m = self.machines[ip]
-        if m.order is None:
+        if m.replica is None:
             return
-        while m.saving and self.rng.random() < self.synced:
-            act = m.saving.pop(0)
+        while m.persisting and self.rng.random() < self.synced:
+            act = m.persisting.pop(0)
             if ip not in self.full:
                 self.write(m, act)
-            m.order.saved(self.now, act.token, ip not in self.full)
-        m.order.known = [(o, 1) for o in self.machines]
-        m.order.tick(self.now)
+            m.replica.persisted(self.now, act.token, ip not in self.full)
+        m.replica.known = [(o, 1) for o in self.machines]
+        m.replica.tick(self.now)
         self.carry_out(m)
 
     def carry_out(self, m: Machine) -> None:
-        assert m.order is not None
-        while m.order.out:
-            acts, m.order.out = m.order.out, []
+        assert m.replica is not None
+        while m.replica.out:
+            acts, m.replica.out = m.replica.out, []
             for act in acts:
-                if isinstance(act, Say):
-                    self.say(m, act)
-                elif isinstance(act, Save):
-                    m.saving.append(act)
-                elif isinstance(act, Settle):
-                    self.check(act.change)
+                if isinstance(act, Send):
+                    self.send(m, act)
+                elif isinstance(act, Persist):
+                    m.persisting.append(act)
+                elif isinstance(act, Commit):
+                    self.check(act.entry)
                 elif isinstance(act, Reply):
                     self.answer(act)
-        assert m.order.vow.epoch >= m.epochs, "an epoch went back"
-        if m.disk.vow is not None:
-            m.epochs = max(m.epochs, 0)
+        assert m.replica.vote.term >= m.terms, "a term went back"
+        if m.disk.vote is not None:
+            m.terms = max(m.terms, 0)
 
-    def say(self, m: Machine, act: Say) -> None:
-        message = Comb()
+    def send(self, m: Machine, act: Send) -> None:
+        message = ConsensusMessage()
         message.CopyFrom(act.message)
         if act.to.disk == m.disk.name:
             self.post.append((self.now, m.ip, m.ip, message))
@@ -168,25 +168,25 @@
 
     # --- calls ---
 
-    def acting(self) -> list[str]:
-        return [ip for ip, m in self.machines.items() if m.order is not None and m.order.phase.name == "ACTS"]
+    def leaders(self) -> list[str]:
+        return [ip for ip, m in self.machines.items() if m.replica is not None and m.replica.role.name == "LEADER"]
 
     def put(self, ip: str, base: int, generation: int) -> None:
         m = self.machines[ip]
-        if m.order is None:
+        if m.replica is None:
             return
         self.begin(Call(self.now, math.inf, "put", generation, base))
         text = b"config %d" % generation
-        m.order.put(self.now, self.calls, base, generation, text, text)
+        m.replica.put(self.now, self.calls, base, generation, text, text)
         self.carry_out(m)
 
     def get(self, ip: str) -> Call | None:
         """Ask the member at an address for the configuration; None where there is nobody."""
         m = self.machines[ip]
-        if m.order is None:
+        if m.replica is None:
             return None
         call = self.begin(Call(self.now, math.inf, "get", 0))
-        m.order.get(self.now, self.calls)
+        m.replica.get(self.now, self.calls)
         self.carry_out(m)
         return call
 
@@ -222,29 +222,30 @@
 
     # --- what must hold ---
 
-    def check(self, change: Change) -> None:
-        """Agreement: what is settled under a number is one thing everywhere."""
-        kept = Change()
-        kept.CopyFrom(change)
-        kept.epoch = 0
+    def check(self, entry: LogEntry) -> None:
+        """Agreement: what is committed under a number is one thing everywhere."""
+        kept = LogEntry()
+        kept.CopyFrom(entry)
+        kept.term = 0
         text = kept.SerializeToString(deterministic=True)
-        known = self.settled.setdefault(change.number, text)
-        assert known == text, f"two changes are settled under number {change.number}"
+        known = self.committed.setdefault(entry.number, text)
+        assert known == text, f"two entries are committed under number {entry.number}"
 
     def one_winner(self) -> None:
         for base, generations in self.winners.items():
             assert len(generations) == 1, f"on version {base} these were acknowledged: {generations}"
 
-    def newest(self) -> Change:
+    def newest(self) -> LogEntry:
         """What those that are there settle on, once all is quiet."""
-        found = [m.order.settled for m in self.machines.values() if m.order is not None]
-        return max(found, key=lambda c: c.number)
+        found_cluster = [m.replica.committed for m in self.machines.values() if m.replica is not None]
+        return max(found_cluster, key=lambda c: c.number)
 
     def nothing_lost(self) -> None:
         newest = self.newest()
         if self.acked:
             assert newest.generation >= max(self.acked), (
-                f"acknowledged {max(self.acked)}, settled {newest.generation}")
+                f"acknowledged {max(self.acked)}, committed {newest.generation}"
+            )
 
     def quiet(self, span: float = 6.0) -> None:
         """No troubles from here on: everything comes together."""
@@ -252,6 +253,6 @@
         self.full.clear()
         self.loss = self.doubles = 0.0
         for ip, m in self.machines.items():
-            if m.order is None:
+            if m.replica is None:
                 self.start(ip)
         self.run(span)
--- a/zinclever/hive/scout/asking.py
+++ b/zinclever/mesh/operator_cli/asking.py
@@ -8,22 +8,28 @@
 import orjson
 
 from ...core.protocol import read_address
-from ..errors import HiveError
+from ..errors import MeshError
 
 WITHIN = 2.0  # s in which a member that lives says something; a change may take longer
 CHANGE_WITHIN = 6.0
 
 
-def ask(core: list[str], method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None,
-        within: float = WITHIN) -> tuple[int, Any, str]:
-    """Status, answer and who gave it: the first of the members that answers. HiveError where none does, with their
+def ask(
+    core: list[str],
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    within: float = WITHIN,
+) -> tuple[int, Any, str]:
+    """Status, answer and who gave it: the first of the members that answers. MeshError where none does, with their
     names."""
     told: list[str] = []
     for name in core:
         try:
             host, port = read_address(name)
         except ValueError as wrong:
-            raise HiveError("ADDRESS", str(wrong), name) from None
+            raise MeshError("ADDRESS", str(wrong), name) from None
         connection = http.client.HTTPConnection(host, port, timeout=within)
         try:
             connection.request(method, path, body or None, {"Content-Type": "application/json", **(headers or {})})
@@ -38,7 +44,7 @@
             told.append(f"{name} (503)")
             continue
         return answer.status, orjson.loads(text) if text else None, name
-    raise HiveError("NOBODY_ANSWERS", "asked " + ", ".join(told))
+    raise MeshError("NOBODY_ANSWERS", "asked " + ", ".join(told))
 
 
 def must(status: int, told: Any) -> Any:
@@ -47,4 +53,4 @@
         return told
     error = told.get("Error", {}) if isinstance(told, dict) else {}
     code, text = error.get("Code") or f"HTTP_{status}", error.get("Text") or f"status {status}"
-    raise HiveError(code, text, error.get("Field", ""))
+    raise MeshError(code, text, error.get("Field", ""))
--- a/zinclever/hive/scout/commands.py
+++ b/zinclever/mesh/operator_cli/commands.py
@@ -5,9 +5,9 @@
 
 from pathlib import Path
 
-from ..comb.store import read_folder
-from ..errors import HiveError
-from ..honey.recipe import read
+from ..configuration.document import read
+from ..consensus.store import read_folder
+from ..errors import MeshError
 from .asking import CHANGE_WITHIN, ask, must
 from .tables import show
 
@@ -18,9 +18,11 @@
     :param core: addresses of members of the core, as host:port
     :param json: print JSON instead of a table
     """
-    told = must(*ask(list(core), "GET", "/v1/hive/who")[:2])
-    rows = [(b["Name"], b["Standing"], b["Role"], b["Zone"], b["Address"],
-             f"{b['By']}: {b['Why']}" if "Why" in b else "") for b in told["Bees"]]
+    told = must(*ask(list(core), "GET", "/v1/mesh/who")[:2])
+    rows = [
+        (b["Name"], b["Standing"], b["Role"], b["Zone"], b["Address"], f"{b['By']}: {b['Why']}" if "Why" in b else "")
+        for b in told["Nodes"]
+    ]
     show(told, json, ("name", "standing", "role", "zone", "address", "said by"), rows)
     return 0
 
@@ -31,7 +33,7 @@
     :param core: addresses of members of the core, as host:port
     :param json: print JSON instead of a table
     """
-    told = must(*ask(list(core), "GET", "/v1/hive/endpoints")[:2])
+    told = must(*ask(list(core), "GET", "/v1/mesh/endpoints")[:2])
     rows = [(e["Id"], e["Phase"], e["Target"], e["Keeper"], e["Address"], e["Capacity"]) for e in told["Endpoints"]]
     show(told, json, ("endpoint", "phase", "service", "keeper", "address", "slots"), rows)
     return 0
@@ -43,12 +45,14 @@
     :param core: addresses of members of the core, as host:port
     :param json: print JSON instead of a table
     """
-    told = must(*ask(list(core), "GET", "/v1/hive/view")[:2])
-    rows = [(s["Name"], s["Ip"], s["Disk"], "acts" if s["Disk"] == told["Acting"] else "") for s in told["Seats"]]
+    told = must(*ask(list(core), "GET", "/v1/mesh/view")[:2])
+    rows = [(s["Name"], s["Ip"], s["Disk"], "acts" if s["Disk"] == told["Leader"] else "") for s in told["Voters"]]
     show(told, json, ("name", "ip", "disk", "duty"), rows)
     if not json:
-        print(f"number {told['Number']}, configuration {told['Generation']}, epoch {told['Epoch']}, "
-              f"{told['By']} {told['Phase'].lower()}")
+        print(
+            f"number {told['Number']}, configuration {told['Generation']}, term {told['Term']}, "
+            f"{told['By']} {told['Role'].lower()}"
+        )
     return 0
 
 
@@ -66,8 +70,11 @@
 
     :param file: a configuration in JSON
     """
-    recipe = read(file.read_bytes())
-    print(f"configuration {recipe.generation}: {len(recipe.routes)} routes, {len(recipe.services)} services")
+    configuration = read(file.read_bytes())
+    print(
+        f"configuration {configuration.generation}: {len(configuration.routes)} routes, {len(configuration.services)} "
+        "services"
+    )
     return 0
 
 
@@ -80,10 +87,11 @@
     """
     text = file.read_bytes()
     read(text)
-    status, told, name = ask(list(core), "POST", "/v1/config/replace", text, {"X-Base-Version": str(base)},
-                             CHANGE_WITHIN)
+    status, told, name = ask(
+        list(core), "POST", "/v1/config/replace", text, {"X-Base-Version": str(base)}, CHANGE_WITHIN
+    )
     if status == 503:
-        raise HiveError("CONFIG_UNCLEAR", f"{name} gave no clear answer: it may be in force; ask again, unchanged")
+        raise MeshError("CONFIG_UNCLEAR", f"{name} gave no clear answer: it may be in force; ask again, unchanged")
     print(f"in force: {must(status, told)['Generation']}")
     return 0
 
@@ -95,7 +103,7 @@
     :param core: addresses of members of the core, as host:port
     :param json: print JSON instead of a table
     """
-    told = must(*ask(list(core), "GET", f"/v1/hive/requests/{request_id}")[:2])
+    told = must(*ask(list(core), "GET", f"/v1/mesh/requests/{request_id}")[:2])
     rows = [(r["By"], r["Status"], r["Target"], r["Ms"], t) for r in told["Requests"] for t in r["Tries"] or ["none"]]
     show(told, json, ("sidecar", "status", "service", "ms", "try"), rows)
     return 0
@@ -108,10 +116,10 @@
     :param json: print JSON instead of a table
     """
     told = read_folder(folder)
-    rows = [(s["Name"], s["Ip"], s["Disk"], "this disk" if s["Disk"] == told["Disk"] else "") for s in told["Seats"]]
+    rows = [(s["Name"], s["Ip"], s["Disk"], "this disk" if s["Disk"] == told["Disk"] else "") for s in told["Voters"]]
     show(told, json, ("name", "ip", "disk", ""), rows)
     if not json:
-        print(f"disk {told['Disk']}, vow {told['Vow']}, number {told['Number']}, configuration {told['Generation']}")
+        print(f"disk {told['Disk']}, vote {told['Vote']}, number {told['Number']}, configuration {told['Generation']}")
     return 0
 
 
--- a/zinclever/hive/scout/tables.py
+++ b/zinclever/mesh/operator_cli/tables.py
@@ -10,10 +10,10 @@
 
 
 def table(heads: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
-    """Columns as wide as their longest cell."""
-    cells = [[str(h) for h in heads], *([str(c) for c in row] for row in rows)]
-    widths = [max(len(row[n]) for row in cells) for n in range(len(heads))]
-    return "\n".join("  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True)).rstrip() for row in cells)
+    """Columns as wide as their longest endpoint_info."""
+    endpoint_infos = [[str(h) for h in heads], *([str(c) for c in row] for row in rows)]
+    widths = [max(len(row[n]) for row in endpoint_infos) for n in range(len(heads))]
+    return "\n".join("  ".join(c.ljust(w) for c, w in zip(row, widths, strict=True)).rstrip() for row in endpoint_infos)
 
 
 def show(told: Any, json: bool, heads: Sequence[str] = (), rows: Iterable[Sequence[Any]] = ()) -> None:
--- a/zinclever/hive/roles/boot.py
+++ b/zinclever/mesh/roles/boot.py
@@ -10,7 +10,7 @@
 from schema import And, Optional, Or, Schema, SchemaError
 
 from ...core.protocol import Address, read_address
-from ..errors import HiveError
+from ..errors import MeshError
 
 VARIABLE = "ZINCLEVER_BOOT"
 
@@ -32,14 +32,26 @@
 
 SETTINGS = Schema(
     {
-        "NodeName": NAME, "Role": NAME, "Ip": NAME, "Zone": str, "Serves": [str],
+        "NodeName": NAME,
+        "Role": NAME,
+        "Ip": NAME,
+        "Zone": str,
+        "Serves": [str],
         "Bind": {Optional(str): ADDRESS},
         "EphemeralPorts": And([PORT], lambda p: len(p) == 2 and p[0] < p[1], error="must be two ports, rising"),
         "SeedNodes": [ADDRESS],
-        Optional("MachineClass"): str, Optional("Region"): str, Optional("Zones"): dict,
-        Optional("Bootstrap"): bool, Optional("Counted"): bool, Optional("StateDir"): Or(None, NAME),
-        Optional("HeartbeatS"): ABOVE, Optional("Bounds"): [str], Optional("Limits"): dict,
-        Optional("FaultModel"): dict, Optional("AppAddr"): Or(None, ADDRESS), Optional("Target"): Or(None, str),
+        Optional("MachineClass"): str,
+        Optional("Region"): str,
+        Optional("Zones"): dict,
+        Optional("Bootstrap"): bool,
+        Optional("Counted"): bool,
+        Optional("StateDir"): Or(None, NAME),
+        Optional("HeartbeatS"): ABOVE,
+        Optional("Bounds"): [str],
+        Optional("Limits"): dict,
+        Optional("FaultModel"): dict,
+        Optional("AppAddr"): Or(None, ADDRESS),
+        Optional("Target"): Or(None, str),
     },
     ignore_extra_keys=True,
 )
@@ -74,22 +86,33 @@
 
 
 def read(text: bytes) -> Boot:
-    """The settings from their text; HiveError with the path of what is wrong."""
+    """The settings from their text; MeshError with the path of what is wrong."""
     try:
         told: Any = orjson.loads(text)
         SETTINGS.validate(told)
     except orjson.JSONDecodeError as wrong:
-        raise HiveError("BOOT_UNREADABLE", str(wrong)) from None
+        raise MeshError("BOOT_UNREADABLE", str(wrong)) from None
     except SchemaError as wrong:
-        raise HiveError("BOOT_INVALID", " ".join(str(wrong.code).split()), "boot") from None
+        raise MeshError("BOOT_INVALID", " ".join(str(wrong.code).split()), "boot") from None
     limits, fault = told.get("Limits") or {}, told.get("FaultModel") or {}
     return Boot(
-        told["NodeName"], told["Ip"], told["Zone"], tuple(sorted(told.get("Zones") or {told["Zone"]: ""})),
-        {k: read_address(v) for k, v in told["Bind"].items()}, tuple(told["EphemeralPorts"]),
-        tuple(read_address(s) for s in told["SeedNodes"]), bool(told.get("Bootstrap")), told.get("StateDir"),
-        float(told.get("HeartbeatS", 1.5)), int(fault.get("HostLosses", 1)), int(limits.get("MaxFds", 1024)),
-        int(limits.get("MemoryMb", 256)), float(limits.get("LinkMbps") or 0.0), read_bounds(told.get("Bounds") or []),
-        read_address(told["AppAddr"]) if told.get("AppAddr") else None, told.get("Target") or "",
+        told["NodeName"],
+        told["Ip"],
+        told["Zone"],
+        tuple(sorted(told.get("Zones") or {told["Zone"]: ""})),
+        {k: read_address(v) for k, v in told["Bind"].items()},
+        tuple(told["EphemeralPorts"]),
+        tuple(read_address(s) for s in told["SeedNodes"]),
+        bool(told.get("Bootstrap")),
+        told.get("StateDir"),
+        float(told.get("HeartbeatS", 1.5)),
+        int(fault.get("HostLosses", 1)),
+        int(limits.get("MaxFds", 1024)),
+        int(limits.get("MemoryMb", 256)),
+        float(limits.get("LinkMbps") or 0.0),
+        read_bounds(told.get("Bounds") or []),
+        read_address(told["AppAddr"]) if told.get("AppAddr") else None,
+        told.get("Target") or "",
     )
 
 
@@ -101,5 +124,5 @@
         try:
             found[name] = float({"true": "1", "false": "0"}.get(value.lower(), value))
         except ValueError:
-            raise HiveError("BOOT_INVALID", f"is no number: {value!r}", f"Bounds.{name}") from None
+            raise MeshError("BOOT_INVALID", f"is no number: {value!r}", f"Bounds.{name}") from None
     return found
--- a/zinclever/hive/roles/colony.py
+++ b/zinclever/mesh/roles/node.py
@@ -10,45 +10,60 @@
 from ...core.descriptors import Descriptors
 from ...core.protocol import Address
 from ...system import System
-from ..dance.hive_pb2 import Bee, Fetch, Frame, Honey, Record, Version
-from ..dance.links import Line, Lines, Link
-from ..errors import HiveError
-from ..honey.pantry import Pantry, unpack
-from ..swarm.ground import Ground
-from ..swarm.records import BEE, GONE, VERSION
-from ..swarm.swarm import RATE, Swarm
+from ..configuration.active import ActiveConfiguration, unpack
+from ..errors import MeshError
+from ..membership.gossip import RATE, Gossip
+from ..membership.gossip_socket import GossipSocket
+from ..membership.records import GONE, NODE, VERSION
+from ..transport.links import Line, Lines, Link
+from ..transport.mesh_pb2 import Fetch, FetchReply, Frame, NodeInfo, Record, Version
 from .boot import Boot
 
 log = logging.getLogger(__name__)
 
-FORAGER, COMB = "forager", "comb"
-OFFSETS = {FORAGER: 0, COMB: 1}  # of a role's port from the first of EphemeralPorts
+SIDECAR, CONTROL = "forager", "comb"  # role names on the wire, kept from version 0.1
+
+OFFSETS = {SIDECAR: 0, CONTROL: 1}  # of a role's port from the first of EphemeralPorts
 NEWS = 0.1  # of this machine's link that news may take
 SPEAKS = 3  # version of the wire
 FETCH_FOR = 0.6  # s for which a version is waited for before another is asked
 CONFIG = "config"  # the id of the version's record
 
 
-class Colony:
-    """Owns the swarm's socket, the links and their listener, from :meth:`start` to :meth:`stop`."""
+class Node:
+    """Owns the gossip's socket, the links and their listener, from :meth:`start` to :meth:`stop`."""
 
     def __init__(self, boot: Boot, role: str, disk: str = "") -> None:
         self.boot, self.role = boot, role
         self.host = System()
         self.loop = asyncio.get_running_loop()
         self.port = boot.ports[0] + OFFSETS[role]
-        gate = boot.bind.get("ControlPlane") if role == COMB else None
-        self.bee = Bee(ip=boot.ip, port=self.port, role=role, zone=boot.zone, disk=disk, speaks=SPEAKS,
-                       gate=f"{gate[0]}:{gate[1]}" if gate else "")
-        seeds = [(ip, boot.ports[0] + OFFSETS[COMB]) for ip, _ in boot.seeds]
+        control_address = boot.bind.get("ControlPlane") if role == CONTROL else None
+        self.info = NodeInfo(
+            ip=boot.ip,
+            port=self.port,
+            role=role,
+            zone=boot.zone,
+            disk=disk,
+            speaks=SPEAKS,
+            control_address=f"{control_address[0]}:{control_address[1]}" if control_address else "",
+        )
+        seeds = [(ip, boot.ports[0] + OFFSETS[CONTROL]) for ip, _ in boot.seeds]
         self.name = f"{boot.name}/{role}"
         life = time.time_ns() // 1_000_000
-        self.swarm = Swarm(self.name, life, self.bee, seeds, self.loop.time(), self.host.random(),
-                           NEWS * boot.link * 125_000.0 if boot.link else RATE)
-        self.ground = Ground(self.swarm, self.on_news)
+        self.gossip = Gossip(
+            self.name,
+            life,
+            self.info,
+            seeds,
+            self.loop.time(),
+            self.host.random(),
+            NEWS * boot.link * 125_000.0 if boot.link else RATE,
+        )
+        self.gossip_socket = GossipSocket(self.gossip, self.on_news)
         self.lines = Lines(self.name)
         self.descriptors = Descriptors(max(128, boot.descriptors - 200))
-        self.pantry = Pantry()
+        self.active = ActiveConfiguration()
         self.server: asyncio.Server | None = None
         self.links: set[Link] = set()
         self.speaks: dict[Address, int] = {}
@@ -61,13 +76,14 @@
 
     async def start(self) -> None:
         self.server = await self.loop.create_server(
-            lambda: Link(self.on_frame, self.on_link_lost), self.boot.ip, self.port, backlog=512)
-        await self.ground.listen((self.boot.ip, self.port))
+            lambda: Link(self.on_frame, self.on_link_lost), self.boot.ip, self.port, backlog=512
+        )
+        await self.gossip_socket.listen((self.boot.ip, self.port))
 
     def stop(self) -> None:
-        self.swarm.leave(self.loop.time())
-        self.ground.flush()
-        self.ground.close()
+        self.gossip.leave(self.loop.time())
+        self.gossip_socket.flush()
+        self.gossip_socket.close()
         self.lines.close()
         if self.server is not None:
             self.server.close()
@@ -76,7 +92,7 @@
 
     def reload(self, boot: Boot) -> None:
         """The settings file has changed: its seeds hold from now on."""
-        self.swarm.seeds = [(ip, boot.ports[0] + OFFSETS[COMB]) for ip, _ in boot.seeds]
+        self.gossip.seeds = [(ip, boot.ports[0] + OFFSETS[CONTROL]) for ip, _ in boot.seeds]
 
     # --- links ---
 
@@ -99,32 +115,34 @@
 
     def on_news(self, record: Record, teller: str) -> None:
         """Something is new here."""
-        if record.kind == VERSION and record.life > self.pantry.number:
+        if record.kind == VERSION and record.life > self.active.number:
             self.fetch(record, teller)
-        if record.kind == BEE:
-            bee = Bee.FromString(record.body)
+        if record.kind == NODE:
+            info = NodeInfo.FromString(record.body)
             if record.rank >= GONE:
-                self.lines.retire((bee.ip, bee.port))
-                self.speaks.pop((bee.ip, bee.port), None)
+                self.lines.retire((info.ip, info.port))
+                self.speaks.pop((info.ip, info.port), None)
             else:
-                self.speaks[(bee.ip, bee.port)] = bee.speaks
+                self.speaks[(info.ip, info.port)] = info.speaks
         for listener in self.news:
             listener(record)
 
     def tell(self, record: Record) -> None:
         """News from here, at once."""
-        self.swarm.tell(self.loop.time(), record)
-        self.ground.flush()
+        self.gossip.tell(self.loop.time(), record)
+        self.gossip_socket.flush()
 
     # --- the configuration ---
 
     def in_force(self, number: int, generation: int, text: bytes) -> None:
         """A settled configuration has come here by whatever way: it holds from now on, and others may ask for it."""
         try:
-            if self.pantry.take(number, generation, text):
-                log.info("configuration in force", extra={"code": "CONFIG_IN_FORCE", "number": number,
-                                                          "generation": generation})
-        except HiveError as wrong:
+            if self.active.take(number, generation, text):
+                log.info(
+                    "configuration in force",
+                    extra={"code": "CONFIG_IN_FORCE", "number": number, "generation": generation},
+                )
+        except MeshError as wrong:
             log.error("a settled configuration can't be read", extra={"code": wrong.code, "field": wrong.field})
             return
         body = Version(number=number, generation=generation).SerializeToString()
@@ -137,14 +155,14 @@
         """Ask for a version: who told of it first, then any other."""
         if self.fetching:
             return
-        address = self.swarm.address(teller)
+        address = self.gossip.address(teller)
         if teller == self.name or address is None:
-            peers = [p for p in self.swarm.peers() if self.swarm.address(p) is not None]
+            peers = [p for p in self.gossip.peers() if self.gossip.address(p) is not None]
             if not peers:
                 self.loop.call_later(FETCH_FOR, self.look_again)
                 return
-            teller = self.swarm.rng.choice(peers)
-            address = self.swarm.address(teller)
+            teller = self.gossip.rng.choice(peers)
+            address = self.gossip.address(teller)
         assert address is not None
         self.fetching.add(teller)
         line = self.line(address)
@@ -159,38 +177,38 @@
             timer.cancel()
             line.over(stream)
             self.fetching.discard(teller)
-            if frame is not None and frame.honey.number:
-                self.take_in(frame.honey)
-            self.look_again(again=frame is None or not frame.honey.number)
+            if frame is not None and frame.fetched.number:
+                self.take_in(frame.fetched)
+            self.look_again(again=frame is None or not frame.fetched.number)
 
         timer = self.loop.call_later(FETCH_FOR, over, None)
         stream = line.call(Frame(fetch=Fetch(number=record.life, packs=True)), over)
 
-    def take_in(self, honey: Honey) -> None:
+    def take_in(self, fetched: FetchReply) -> None:
         """A configuration from another, as it came."""
         try:
-            text = unpack(honey.packed) if honey.packed else honey.text
-        except HiveError as wrong:
+            text = unpack(fetched.packed) if fetched.packed else fetched.text
+        except MeshError as wrong:
             log.error("a configuration can't be unpacked", extra={"code": wrong.code})
             return
-        self.in_force(honey.number, honey.generation, text)
+        self.in_force(fetched.number, fetched.generation, text)
 
     def look_again(self, again: bool = False) -> None:
         """Whether a newer version is known of than is held."""
-        record = self.swarm.records.get(VERSION, CONFIG)
-        if record is not None and record.life > self.pantry.number:
+        record = self.gossip.records.get(VERSION, CONFIG)
+        if record is not None and record.life > self.active.number:
             if again:
                 self.loop.call_later(0.05, self.look_again)
             else:
                 self.fetch(record, self.name)
 
     def on_fetch(self, link: Link, frame: Frame) -> None:
-        if self.pantry.number >= frame.fetch.number and self.pantry.text:
-            honey = Honey(number=self.pantry.number, generation=self.pantry.generation)
+        if self.active.number >= frame.fetch.number and self.active.text:
+            fetched = FetchReply(number=self.active.number, generation=self.active.generation)
             if frame.fetch.packs:
-                honey.packed = self.pantry.pack()
-            if not honey.packed:
-                honey.text = self.pantry.text
-            link.send(Frame(stream=frame.stream, honey=honey))
+                fetched.packed = self.active.pack()
+            if not fetched.packed:
+                fetched.text = self.active.text
+            link.send(Frame(stream=frame.stream, fetched=fetched))
         elif len(self.waiting) < 1024:
             self.waiting.append((link, frame))
--- a/zinclever/hive/roles/forager.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -12,22 +12,31 @@
 from ...core.protocol import Entry
 from ...http1.desk import Desk
 from ...http1.heads import Answer
-from ..dance.hive_pb2 import Bee, Cell, Frame, Load, Piece, Record, Told, Yield
-from ..dance.links import Link
-from ..forage.egress import Egress
-from ..forage.flights import Flight, Flights
-from ..forage.hop import WHOLE, HopWire
-from ..forage.keeper import Job, Keeper
-from ..forage.thrift import Thrift
-from ..gate.desk import Call, Gate, Handler, say
-from ..gate.matchers import Tree
-from ..honey.recipe import Recipe
-from ..swarm.records import BEE, ENDPOINT
-from ..swarm.swarm import Standing
+from ..configuration.document import Configuration
+from ..control_api.desk import Call, ControlApi, Handler, say
+from ..control_api.matchers import Tree
+from ..dataplane.egress import Egress
+from ..dataplane.flights import Flight, Flights
+from ..dataplane.hop import WHOLE, HopWire
+from ..dataplane.keeper import Job, Keeper
+from ..dataplane.retry_budget import RetryBudget
+from ..membership.gossip import Standing
+from ..membership.records import ENDPOINT, NODE
+from ..transport.links import Link
+from ..transport.mesh_pb2 import (
+    ControlReply,
+    EndpointInfo,
+    ForwardReply,
+    ForwardRequest,
+    Frame,
+    NodeInfo,
+    Piece,
+    Record,
+)
 from ..verdict import Verdict
 from .boot import Boot
-from .colony import FORAGER, Colony
-from .doorway import DRAINING, GONE, LAST, READY, read_beat
+from .endpoint_calls import DRAINING, GONE, LAST, READY, read_beat
+from .node import SIDECAR, Node
 
 log = logging.getLogger(__name__)
 
@@ -46,25 +55,26 @@
 
     __slots__ = ("job", "link", "load", "parts", "since", "wanted")
 
-    def __init__(self, link: Link, load: Load, since: float) -> None:
+    def __init__(self, link: Link, load: ForwardRequest, since: float) -> None:
         self.link, self.load, self.since = link, load, since
         self.parts = [load.body]
         self.wanted = load.length - len(load.body)
         self.job: Job | None = None
 
 
-class Forager:
-    """Owns the colony, the three listeners and the keeper."""
+class Sidecar:
+    """Owns the node, the three listeners and the keeper."""
 
     def __init__(self, boot: Boot) -> None:
         self.boot = boot
-        self.colony = Colony(boot, FORAGER)
-        self.loop, self.host = self.colony.loop, self.colony.host
-        self.keeper = Keeper(self.host, self.colony.descriptors)
+        self.node = Node(boot, SIDECAR)
+        self.loop, self.host = self.node.loop, self.node.host
+        self.keeper = Keeper(self.host, self.node.descriptors)
         self.keeper.refused = self.on_refused
         self.flights = Flights(self.make_flight)
-        self.egress = Egress(self.colony.descriptors, self.host, self.colony.pantry, self.flights, boot.service,
-                             self.keeper.runs)
+        self.egress = Egress(
+            self.node.descriptors, self.host, self.node.active, self.flights, boot.service, self.keeper.runs
+        )
         self.desks: list[tuple[Desk, str]] = [(self.egress, "Egress")]
         self.servers: list[asyncio.Server] = []
         self.incoming: dict[tuple[Link, int], Incoming] = {}
@@ -74,10 +84,10 @@
         self.told_ready = False
         self.stale: set[str] = set()
         self.refreshing = False
-        self.colony.frames.update(ask=self.on_ask, load=self.on_load, piece=self.on_piece, cancel=self.on_cancel)
-        self.colony.link_lost.append(self.on_link_lost)
-        self.colony.news.append(self.on_news)
-        self.colony.pantry.listeners.append(self.on_recipe)
+        self.node.frames.update(ask=self.on_ask, load=self.on_load, piece=self.on_piece, cancel=self.on_cancel)
+        self.node.link_lost.append(self.on_link_lost)
+        self.node.news.append(self.on_news)
+        self.node.active.listeners.append(self.on_configuration)
 
     async def start(self) -> None:
         boot = self.boot
@@ -88,8 +98,8 @@
         calls.add("POST /v1/endpoints/{id}/departure", self.on_departure)
         calls.add("GET /v1/ready", self.on_ready)
         for name, tree in (("Readiness", ready), ("ControlPlane", calls)):
-            self.desks.append((Gate(self.colony.descriptors, self.host, tree), name))
-        await self.colony.start()
+            self.desks.append((ControlApi(self.node.descriptors, self.host, tree), name))
+        await self.node.start()
         for desk, name in self.desks:
             if name in boot.bind:
                 server = await self.loop.create_server(desk.connection, *boot.bind[name], backlog=BACKLOG)
@@ -101,26 +111,32 @@
 
     def ready(self) -> bool:
         """It serves: a configuration is in force, some endpoint is known, and others have told what they know."""
-        return bool(not self.ending and self.colony.pantry.recipe is not None and self.colony.swarm.met
-                    and any(f.ledger.ready for f in self.flights.flights.values()))
+        return bool(
+            not self.ending
+            and self.node.active.configuration is not None
+            and self.node.gossip.met
+            and any(f.ledger.ready for f in self.flights.flights.values())
+        )
 
     def on_ready(self, call: Call) -> Answer:
         ready = self.ready()
         if ready is not self.told_ready:
             self.told_ready = ready
-            log.info("ready" if ready else "not ready", extra={"code": "READY", "met": self.colony.swarm.met,
-                                                               "number": self.colony.pantry.number})
+            log.info(
+                "ready" if ready else "not ready",
+                extra={"code": "READY", "met": self.node.gossip.met, "number": self.node.active.number},
+            )
         return say(200 if ready else 503)
 
     def reload(self, boot: Boot) -> None:
-        self.colony.reload(boot)
+        self.node.reload(boot)
 
     async def stop(self, grace: float) -> None:
         """End in order: others stop coming first, what runs is finished."""
         began = self.loop.time()
         self.ending = True
-        self.colony.swarm.leave(began)
-        self.colony.ground.flush()
+        self.node.gossip.leave(began)
+        self.node.gossip_socket.flush()
         for desk, _ in self.desks:
             desk.begin_drain()
         while self.loop.time() - began < grace - ENDS_BEFORE:
@@ -133,13 +149,13 @@
         self.egress.close_idle()
         for desk, _ in self.desks:
             desk.stop()
-        self.colony.stop()
+        self.node.stop()
 
     # --- the endpoint beside this sidecar ---
 
     def on_beat(self, call: Call) -> Answer:
         record = read_beat(call, self.life)
-        known = self.colony.swarm.records.get(ENDPOINT, record.id)
+        known = self.node.gossip.records.get(ENDPOINT, record.id)
         if known is not None:
             record.life = known.life
             if known.rank >= GONE:
@@ -148,28 +164,28 @@
                 record.life = known.life + 1  # it was taken for gone, and lives
             elif known.seq > record.seq:
                 return say(200, {})  # a late one
-        cell = Cell.FromString(record.body)
-        cell.keeper = self.colony.name
-        record.body = cell.SerializeToString()
+        endpoint_info = EndpointInfo.FromString(record.body)
+        endpoint_info.keeper = self.node.name
+        record.body = endpoint_info.SerializeToString()
         self.beat_at = self.loop.time()
-        # Told to the core by an endpoint that came up first, it may have been told without a keeper.
-        elsewhere = known is not None and Cell.FromString(known.body).keeper != self.colony.name
+        # ControlReply to the core by an endpoint that came up first, it may have been told without a keeper.
+        elsewhere = known is not None and EndpointInfo.FromString(known.body).keeper != self.node.name
         if known is None or elsewhere or known.rank != record.rank or known.life != record.life:
-            self.colony.tell(record)
-        self.adopt(record.id, record.rank, cell)
+            self.node.tell(record)
+        self.adopt(record.id, record.rank, endpoint_info)
         return say(200, {})
 
-    def adopt(self, endpoint: str, rank: int, cell: Cell) -> None:
+    def adopt(self, endpoint: str, rank: int, endpoint_info: EndpointInfo) -> None:
         """What the keeper does by what is known of an endpoint here."""
         if rank == READY:
             old = self.keeper.endpoint
             if old and old != endpoint:
                 self.end(old)
-            host, _, port = cell.address.rpartition(":")
+            host, _, port = endpoint_info.address.rpartition(":")
             address = self.boot.app or (host, int(port))
             if endpoint != old or not self.keeper.open:
                 log.info("endpoint admitted", extra={"code": "ENDPOINT_READY", "endpoint": endpoint})
-            self.keeper.admit(endpoint, address, cell.slots)
+            self.keeper.admit(endpoint, address, endpoint_info.slots)
         elif endpoint == self.keeper.endpoint:
             if self.keeper.open:
                 log.info("endpoint drains", extra={"code": "ENDPOINT_DRAINS", "endpoint": endpoint})
@@ -181,20 +197,28 @@
 
     def end(self, endpoint: str, seq: int = 0) -> None:
         """An endpoint is gone."""
-        known = self.colony.swarm.records.get(ENDPOINT, endpoint)
+        known = self.node.gossip.records.get(ENDPOINT, endpoint)
         if endpoint == self.keeper.endpoint:
             self.keeper.forget()
         if (known is not None and known.rank < GONE) or seq:
             life, body = (known.life, known.body) if known is not None else (0, b"")
             seq = max(seq, known.seq if known is not None else 0)
-            self.colony.tell(Record(kind=ENDPOINT, id=endpoint, life=life, seq=seq, rank=GONE, body=body))
+            self.node.tell(Record(kind=ENDPOINT, id=endpoint, life=life, seq=seq, rank=GONE, body=body))
 
     def count(self) -> None:
         """A line of counters now and then: they say more than a line for each thing that happens."""
         self.loop.call_later(COUNT_EACH, self.count)
         hops = {s: dict(f.wire.counts) for s, f in self.flights.flights.items()}
-        log.info("counts", extra={"code": "COUNTS", "egress": self.egress.counts, "keeper": self.keeper.counts,
-                                  "hops": hops, "swarm": self.colony.swarm.counts})
+        log.info(
+            "counts",
+            extra={
+                "code": "COUNTS",
+                "egress": self.egress.counts,
+                "keeper": self.keeper.counts,
+                "hops": hops,
+                "gossip": self.node.gossip.counts,
+            },
+        )
 
     def look(self) -> None:
         """Whether the endpoint still beats."""
@@ -213,7 +237,7 @@
 
     def on_load(self, link: Link, frame: Frame) -> None:
         """A load; the body of one that knocks is let come where there is room, at the endpoint and here."""
-        load = Load()
+        load = ForwardRequest()
         load.CopyFrom(frame.load)
         incoming = Incoming(link, load, self.loop.time())
         if load.length > MOST_BODY:
@@ -223,7 +247,7 @@
             refused = self.keeper.has_room(load) if load.knocks else None
             coming = sum(i.wanted for i in self.incoming.values() if i.wanted > 0)
             if coming and coming + load.length > MOST_COMING * (self.boot.memory << 20):
-                refused = Yield(verdict=Verdict.FULL, why="memory")
+                refused = ForwardReply(verdict=Verdict.FULL, why="memory")
             if refused is not None:
                 link.send(Frame(stream=frame.stream, gives=refused))
                 return
@@ -236,8 +260,8 @@
     def on_ask(self, link: Link, frame: Frame) -> None:
         """A member of the core asks for an operator."""
         found = self.egress.remembered.find(frame.ask.text.decode("utf-8", "replace"))
-        text = orjson.dumps({"By": self.colony.name, **found}) if found is not None else b""
-        link.send(Frame(stream=frame.stream, told=Told(status=200 if found is not None else 404, text=text)))
+        text = orjson.dumps({"By": self.node.name, **found}) if found is not None else b""
+        link.send(Frame(stream=frame.stream, told=ControlReply(status=200 if found is not None else 404, text=text)))
 
     def on_piece(self, link: Link, frame: Frame) -> None:
         incoming = self.incoming.get((link, frame.stream))
@@ -251,7 +275,7 @@
         body = incoming.parts[0] if len(incoming.parts) == 1 else b"".join(incoming.parts)
         incoming.job = self.keeper.offer(incoming.load, body, partial(self.send_back, stream, incoming), incoming.since)
 
-    def send_back(self, stream: int, incoming: Incoming, made: Yield) -> None:
+    def send_back(self, stream: int, incoming: Incoming, made: ForwardReply) -> None:
         """A keeper's verdict, over the link; a long body in pieces."""
         self.incoming.pop((incoming.link, stream), None)
         body = made.body
@@ -278,38 +302,40 @@
 
     def make_flight(self, service: str) -> Flight:
         bounds = self.boot.bounds
-        thrift = Thrift(bounds.get("RetryRatio", 0.2), bounds.get("RetryWindowS", 10.0), bounds.get("RetrySlack", 0.0))
-        thrift.sidecars = self.sidecars()
-        wire = HopWire((self.boot.ip, self.colony.port), self.keeper, self.colony.line, thrift,
-                       self.colony.speaks)
+        retry_budget = RetryBudget(
+            bounds.get("RetryRatio", 0.2), bounds.get("RetryWindowS", 10.0), bounds.get("RetrySlack", 0.0)
+        )
+        retry_budget.sidecars = self.sidecars()
+        wire = HopWire((self.boot.ip, self.node.port), self.keeper, self.node.line, retry_budget, self.node.speaks)
         zones = self.boot.zones
         zone = zones.index(self.boot.zone) if self.boot.zone in zones else 0
-        return Flight(service, zone, self.sidecars(), wire, thrift, self.colony.descriptors, self.host)
+        return Flight(service, zone, self.sidecars(), wire, retry_budget, self.node.descriptors, self.host)
 
     def sidecars(self) -> int:
-        return sum(r.rank < 2 and Bee.FromString(r.body).role == FORAGER
-                   for r in self.colony.swarm.records.all(BEE))
+        return sum(
+            r.rank < 2 and NodeInfo.FromString(r.body).role == SIDECAR for r in self.node.gossip.records.all(NODE)
+        )
 
-    def on_recipe(self, recipe: Recipe) -> None:
-        self.egress.configure(recipe, self.boot.memory << 20)
-        for service in recipe.services:
+    def on_configuration(self, configuration: Configuration) -> None:
+        self.egress.configure(configuration, self.boot.memory << 20)
+        for service in configuration.services:
             self.flights.to(service)
             self.stale.add(service)
         self.refresh_soon()
 
     def on_news(self, record: Record) -> None:
         if record.kind == ENDPOINT:
-            cell = Cell.FromString(record.body)
-            if cell.service:
-                self.stale.add(cell.service)
-            if cell.keeper == self.colony.name and record.id != self.keeper.endpoint and record.rank == READY:
+            endpoint_info = EndpointInfo.FromString(record.body)
+            if endpoint_info.service:
+                self.stale.add(endpoint_info.service)
+            if endpoint_info.keeper == self.node.name and record.id != self.keeper.endpoint and record.rank == READY:
                 if not self.keeper.endpoint and self.beat_at < 0:  # told by others after a start of this process
                     self.beat_at = self.loop.time()
-                    self.adopt(record.id, record.rank, cell)
+                    self.adopt(record.id, record.rank, endpoint_info)
             elif record.id == self.keeper.endpoint and record.rank >= DRAINING:
                 self.keeper.close()
             self.refresh_soon()
-        elif record.kind == BEE:
+        elif record.kind == NODE:
             self.stale.update(self.flights.flights)
             self.refresh_soon()
 
@@ -323,22 +349,22 @@
         self.refreshing = False
         stale, self.stale = self.stale, set()
         by_service: dict[str, list[Entry]] = {s: [] for s in stale}
-        swarm = self.colony.swarm
+        gossip = self.node.gossip
         zones = {z: n for n, z in enumerate(self.boot.zones)}
-        for record in swarm.records.all(ENDPOINT):
+        for record in gossip.records.all(ENDPOINT):
             if record.rank >= GONE:
                 continue
-            cell = Cell.FromString(record.body)
-            if cell.service not in by_service:
+            endpoint_info = EndpointInfo.FromString(record.body)
+            if endpoint_info.service not in by_service:
                 continue
-            bee = swarm.bee(cell.keeper)
-            if bee is None or (swarm.standing(cell.keeper) or 0) >= Standing.DEAD:
+            info = gossip.node_info(endpoint_info.keeper)
+            if info is None or (gossip.standing(endpoint_info.keeper) or 0) >= Standing.DEAD:
                 continue
             phase: i.Phase = "ready" if record.rank == READY else "draining"
-            listed = i.Listed(record.id, phase, float(cell.slots), zones.get(bee.zone, 0))
-            by_service[cell.service].append((listed, (bee.ip, bee.port)))
+            listed = i.Listed(record.id, phase, float(endpoint_info.slots), zones.get(info.zone, 0))
+            by_service[endpoint_info.service].append((listed, (info.ip, info.port)))
         sidecars = self.sidecars()
         for service, entries in by_service.items():
             flight = self.flights.to(service)
-            flight.thrift.sidecars = sidecars
+            flight.retry_budget.sidecars = sidecars
             flight.take(entries)
--- a/zinclever/hive/wax/generations.py
+++ b/zinclever/mesh/storage/generations.py
@@ -3,7 +3,8 @@
 ``dbm.dumb`` rewrites its index in place and syncs nothing. So nothing is ever written to a pair of files that counts:
 each change makes a new pair under the next number, synced with its folder before anything is promised; the one before
 the last is removed only then. At a start the highest pair that is whole holds. Each record is there twice under a
-checksum of its own (:mod:`.cells`), with a seal over all of them: a damaged copy is mended from the other one. Once a
+checksum of its own (:mod:`.record_format`), with a seal over all of them: a damaged copy is mended from the other
+one. Once a
 pair is synced a mark is put beside it: a pair without one that can't be read is a save that power cut short, and the
 one before it holds; a pair with one was promised, and nothing older may stand for it. Source: ALICE (Pillai and
 others, 2014).
@@ -18,7 +19,7 @@
 from pathlib import Path
 from typing import NamedTuple, Protocol
 
-from .cells import COPIES, count, pack, scan, unpack
+from .record_format import COPIES, count, pack, scan, unpack
 
 log = logging.getLogger(__name__)
 
--- a/zinclever/hive/wax/cells.py
+++ b/zinclever/mesh/storage/record_format.py
@@ -28,8 +28,8 @@
 def pack(records: Mapping[bytes, bytes]) -> dict[bytes, bytes]:
     """By the keys of the file: each record as many times as there are copies."""
     made = {
-        name: b"%b%b%b%b%b%b" % (
-            MAGIC, len(name).to_bytes(2, "big"), len(value).to_bytes(8, "big"), checksum(name, value), name, value)
+        name: b"%b%b%b%b%b%b"
+        % (MAGIC, len(name).to_bytes(2, "big"), len(value).to_bytes(8, "big"), checksum(name, value), name, value)
         for name, value in records.items()
     }
     return {b"%d %b" % (copy, name): value for copy in range(COPIES) for name, value in made.items()}
--- a/zinclever/hive/dance/links.py
+++ b/zinclever/mesh/transport/links.py
@@ -12,7 +12,7 @@
 from google.protobuf.message import DecodeError
 
 from ...core.protocol import Address
-from .hive_pb2 import Frame
+from .mesh_pb2 import Frame
 
 log = logging.getLogger(__name__)
 
