--- a/zinclever/mesh/__init__.py
+++ b/zinclever/mesh/__init__.py
@@ -1,7 +1,7 @@
-"""The mesh: who is there, the operators' configuration and its delivery, round the sidecar in service.
+"""The service mesh built round the sidecar in service.
 
-Layers, from below: :mod:`.dance` (wire), :mod:`.wax` (disk), the pure machines :mod:`.gossip` (who is there and what is
-known), :mod:`.comb` (the one order of changes), :mod:`.fetched` (configurations) and :mod:`.forage` (the data plane's
-own
-decisions), then the I/O round them and :mod:`.roles`, which puts them together.
+Packages, each importing only from those before it: :mod:`.transport` (messages and links), :mod:`.storage` (files on
+disk), :mod:`.configuration` (operators' configurations), :mod:`.membership` (gossip and failure detection),
+:mod:`.consensus` (replication of the configuration), :mod:`.dataplane` (forwarding), :mod:`.control_api` (HTTP calls)
+and :mod:`.roles`, which puts them together. :mod:`.model` simulates them, :mod:`.operator_cli` holds the commands.
 """
--- a/zinclever/mesh/configuration/__init__.py
+++ b/zinclever/mesh/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""The configurations of operators: read, checked, looked up."""
+"""Operators' configurations: parsing, checks, route lookup, the one in force."""
--- a/zinclever/mesh/consensus/__init__.py
+++ b/zinclever/mesh/consensus/__init__.py
@@ -1,1 +1,1 @@
-"""The one order of changes that all members of a view deliver."""
+"""Replication of the configuration among the control replicas."""
--- a/zinclever/mesh/control_api/__init__.py
+++ b/zinclever/mesh/control_api/__init__.py
@@ -1,1 +1,1 @@
-"""Calls of endpoints, operators and the platform."""
+"""HTTP calls to a node: by endpoints, operators and the platform."""
--- a/zinclever/mesh/dataplane/__init__.py
+++ b/zinclever/mesh/dataplane/__init__.py
@@ -1,1 +1,1 @@
-"""The data plane of the mesh: the way out, the hop to the sidecar beside an endpoint, and that endpoint."""
+"""Forwarding of requests: egress, the hop to another sidecar, and the keeper of an endpoint."""
--- a/zinclever/mesh/membership/__init__.py
+++ b/zinclever/mesh/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Who is there and what is known: news passed on to a few others, gaps mended by digests."""
+"""Gossip: which nodes and endpoints there are, failure detection, anti-entropy."""
--- a/zinclever/mesh/model/__init__.py
+++ b/zinclever/mesh/model/__init__.py
@@ -1,1 +1,1 @@
-"""The mesh's pure machines in simulated time, with all that may befall them: for tests, hunts and measurements."""
+"""Simulated worlds of the mesh's state machines, for tests and measurements."""
--- a/zinclever/mesh/operator_cli/__init__.py
+++ b/zinclever/mesh/operator_cli/__init__.py
@@ -1,1 +1,1 @@
-"""What operators ask of a mesh from the command line."""
+"""The operators' command line."""
--- a/zinclever/mesh/operator_cli/asking.py
+++ b/zinclever/mesh/operator_cli/asking.py
@@ -1,4 +1,4 @@
-"""One call to a member of the core, with a bound on its time; answers as JSON."""
+"""One call to a control replica, bounded in time; answers as JSON."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from ...core.protocol import read_address
 from ..errors import MeshError
 
-WITHIN = 2.0  # s in which a member that lives says something; a change may take longer
+WITHIN = 2.0  # s in which a live replica answers; a change may take longer
 CHANGE_WITHIN = 6.0
 
 
@@ -22,8 +22,7 @@
     headers: dict[str, str] | None = None,
     within: float = WITHIN,
 ) -> tuple[int, Any, str]:
-    """Status, answer and who gave it: the first of the members that answers. MeshError where none does, with their
-    names."""
+    """Status, answer and name of the first replica that answers. MeshError with all names where none does."""
     told: list[str] = []
     for name in core:
         try:
--- a/zinclever/mesh/operator_cli/commands.py
+++ b/zinclever/mesh/operator_cli/commands.py
@@ -1,4 +1,4 @@
-"""The operators' commands. Each takes the ``host:port`` at which members of the core take calls, and ends with 0, or
+"""The operators' commands. Each takes the ``host:port`` at which control replicas take calls, and ends with 0, or
 with 1 where what was asked can't be had or was refused: one line says the code, the field and why."""
 
 from __future__ import annotations
@@ -13,9 +13,9 @@
 
 
 def who(*core: str, json: bool = False) -> int:
-    """Who is in the mesh, and who is suspected or dead, by whom and why.
+    """List the nodes; of those suspected or dead, by whom and why.
 
-    :param core: addresses of members of the core, as host:port
+    :param core: addresses of control replicas, as host:port
     :param json: print JSON instead of a table
     """
     told = must(*ask(list(core), "GET", "/v1/mesh/who")[:2])
@@ -28,9 +28,9 @@
 
 
 def endpoints(*core: str, json: bool = False) -> int:
-    """The endpoints that are known, with the sidecar that keeps each.
+    """List the known endpoints and the sidecar beside each.
 
-    :param core: addresses of members of the core, as host:port
+    :param core: addresses of control replicas, as host:port
     :param json: print JSON instead of a table
     """
     told = must(*ask(list(core), "GET", "/v1/mesh/endpoints")[:2])
@@ -40,14 +40,14 @@
 
 
 def view(*core: str, json: bool = False) -> int:
-    """Who has a voice in the core, who acts, and what is settled, as the member that answers sees it.
+    """Show the voters, the leader and what is committed, as the replica that answers sees it.
 
-    :param core: addresses of members of the core, as host:port
+    :param core: addresses of control replicas, as host:port
     :param json: print JSON instead of a table
     """
     told = must(*ask(list(core), "GET", "/v1/mesh/view")[:2])
-    rows = [(s["Name"], s["Ip"], s["Disk"], "acts" if s["Disk"] == told["Leader"] else "") for s in told["Voters"]]
-    show(told, json, ("name", "ip", "disk", "duty"), rows)
+    rows = [(s["Name"], s["Ip"], s["Disk"], "leader" if s["Disk"] == told["Leader"] else "") for s in told["Voters"]]
+    show(told, json, ("name", "ip", "disk", "role"), rows)
     if not json:
         print(
             f"number {told['Number']}, configuration {told['Generation']}, term {told['Term']}, "
@@ -57,9 +57,9 @@
 
 
 def config_get(*core: str) -> int:
-    """Print the configuration in force, confirmed by a majority of the core.
+    """Print the configuration in force, confirmed by a majority of the voters.
 
-    :param core: addresses of members of the core, as host:port
+    :param core: addresses of control replicas, as host:port
     """
     show(must(*ask(list(core), "GET", "/v1/config/read", within=CHANGE_WITHIN)[:2]), True)
     return 0
@@ -83,7 +83,7 @@
 
     :param file: a configuration in JSON
     :param base: the version that it builds on; 0 for the first
-    :param core: addresses of members of the core, as host:port
+    :param core: addresses of control replicas, as host:port
     """
     text = file.read_bytes()
     read(text)
@@ -100,7 +100,7 @@
     """Why a request was refused or failed, as the sidecar remembers that had it.
 
     :param request_id: its X-Attempt-Id
-    :param core: addresses of members of the core, as host:port
+    :param core: addresses of control replicas, as host:port
     :param json: print JSON instead of a table
     """
     told = must(*ask(list(core), "GET", f"/v1/mesh/requests/{request_id}")[:2])
@@ -110,7 +110,7 @@
 
 
 def disk(folder: Path, *, json: bool = False) -> int:
-    """Read the state of a member of the core off its disk; nothing is changed.
+    """Read the state of a control replica off its disk; nothing is changed.
 
     :param folder: its StateDir
     :param json: print JSON instead of a table
--- a/zinclever/mesh/roles/__init__.py
+++ b/zinclever/mesh/roles/__init__.py
@@ -1,1 +1,1 @@
-"""The roles of the program: what is put together from the other packages."""
+"""The roles of the program, put together from the other packages."""
--- a/zinclever/mesh/storage/__init__.py
+++ b/zinclever/mesh/storage/__init__.py
@@ -1,1 +1,1 @@
-"""The disk: files that are whole or not there."""
+"""Durable files that are whole or not there."""
--- a/zinclever/mesh/transport/__init__.py
+++ b/zinclever/mesh/transport/__init__.py
@@ -1,1 +1,1 @@
-"""What the processes of the mesh say to each other: protobuf, in datagrams and on links."""
+"""Messages between nodes: protobuf, in datagrams and on framed TCP links."""
