--- a/zinclever/mesh/model/members.py
+++ b/zinclever/mesh/model/members.py
@@ -36,10 +36,19 @@
 class World:
     """Members by address. A clock of its own for each, all moving alike."""
 
-    def __init__(self, seed: int, members: int = 3, losses: int = 1, kind: type[Replica] = Replica) -> None:
+    def __init__(
+        self,
+        seed: int,
+        members: int = 3,
+        losses: int = 1,
+        kind: type[Replica] = Replica,
+        founders: int | None = None,
+    ) -> None:
+        """``members`` machines start with empty disks; the first ``founders`` of them (all, if None) are the seeds."""
         self.rng = random.Random(seed)
         self.now, self.losses, self.kind = 0.0, losses, kind
-        self.founders = [(f"10.0.0.{n}", 1) for n in range(members)]
+        addresses = [(f"10.0.0.{n}", 1) for n in range(members)]
+        self.founders = addresses[:founders]
         self.machines: dict[str, Machine] = {}
         self.post: list[tuple[float, str, str, ConsensusMessage]] = []
         self.cut: set[tuple[str, str]] = set()
@@ -62,7 +71,9 @@
         self.refused: list[tuple[int, int]] = []
         self.committed: dict[int, bytes] = {}
         """By number: the entry, but for its term."""
-        for ip, _ in self.founders:
+        self.frozen: dict[str, list[ConsensusMessage]] = {}
+        """What has come for machines that stand still."""
+        for ip, _ in addresses:
             self.add(ip, bootstrap=True)
 
     # --- machines ---
@@ -102,6 +113,22 @@
         self.kill(ip)
         del self.machines[ip]
 
+    def freeze(self, ip: str) -> None:
+        """The process stands still; what comes for it is kept, and its disk does nothing."""
+        self.frozen[ip] = []
+
+    def thaw(self, ip: str) -> None:
+        """It goes on, with what has come meanwhile."""
+        m = self.machines[ip]
+        for message in self.frozen.pop(ip):
+            if m.replica is not None:
+                m.replica.receive(self.now, message)
+                self.carry_out(m)
+
+    def cut_off(self, ip: str) -> None:
+        """Cut a machine off from all others, in both directions."""
+        self.cut |= {(a, b) for a in self.machines for b in self.machines if ip in (a, b) and a != b}
+
     def write(self, m: Machine, act: Persist) -> None:
         m.disk.vote = act.vote
         if act.accepted is not None:
@@ -121,13 +148,15 @@
             self.rng.shuffle(due)
             for _, sender, to, message in due:
                 m = self.machines.get(to)
-                if m is not None and m.replica is not None and (sender, to) not in self.cut:
+                if to in self.frozen:
+                    self.frozen[to].append(message)
+                elif m is not None and m.replica is not None and (sender, to) not in self.cut:
                     m.replica.receive(self.now, message)
                     self.carry_out(m)
 
     def step(self, ip: str) -> None:
         m = self.machines[ip]
-        if m.replica is None:
+        if m.replica is None or ip in self.frozen:
             return
         while m.persisting and self.rng.random() < self.synced:
             act = m.persisting.pop(0)
