Voters: silence never takes the set below the target; learners first; leaving by agreement

Change: target_size = max(founding size, 2 * losses + 1). A voter goes out only for a newcomer (its own machine's new disk at once, else 2 s unheard), or above the target (it leaves, or 2 s unheard). Below the target a newcomer joins at once. Silence counts from when this process itself ran. A newcomer is a learner first: it is proposed once it has acknowledged the committed entry as durable under the leader's term. SIGTERM: the lead is handed on, then the member asks the leader (LEAVE) until the committed entry is on a commit quorum of voters that don't leave; above the target, or for a waiting learner, it goes out of the set. Acknowledgements of one that leaves don't count while the rest can be enough. An APPEND that comes late doesn't replace a later entry of the same term. A change of voters needs a majority of the set before it and a commit quorum of the one after it (a commit quorum of both kept a set of three with losses 2 from growing once one of it was away). One log line (VOTERS_CHANGED) for each change. Changed test: test_consensus.Views.test_next_view reads .voters of the typed result; assertions as before.

--- a/tests/mesh/test_consensus.py
+++ b/tests/mesh/test_consensus.py
@@ -468,7 +468,7 @@
         voters = [Voter(disk=d, ip=f"10.0.0.{n}", port=1) for n, d in enumerate("abc", 1)]
         newcomers = {d: (Voter(disk=d, ip=f"10.0.0.{n}", port=1), 9.5) for d, n in waiting}
         found = next_voters(LogEntry(voters=voters, founding_size=3), "a", newcomers, heard_at, 10.0)
-        self.assertEqual(None if found is None else [s.disk for s in found], want, name)
+        self.assertEqual(None if found is None else [s.disk for s in found.voters], want, name)
 
 
 class Phases(unittest.TestCase):
--- a/tests/mesh/test_voters.py
+++ b/tests/mesh/test_voters.py
@@ -4,7 +4,6 @@
 
 import unittest
 
-from mesh.cases import params
 from zinclever.mesh.model.members import World
 
 DRAWS = 18
--- a/zinclever/mesh/consensus/messages.py
+++ b/zinclever/mesh/consensus/messages.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
+from .quorum import VoterChange
 
 
 class Kind(enum.IntEnum):
@@ -19,6 +20,8 @@
     CONFIRM_LEADERSHIP = 6
     LEADERSHIP_CONFIRMED = 7
     HAND_OVER = 8
+    LEAVE = 10
+    LEAVE_REPLY = 11
 
 
 class ReplicaRole(enum.Enum):
@@ -65,7 +68,14 @@
     text: bytes
 
 
-Action = Send | Persist | Commit | Reply
+class VotersChanged(NamedTuple):
+    """The leader has committed a change of the voters under this number."""
+
+    number: int
+    change: VoterChange
+
+
+Action = Send | Persist | Commit | Reply | VotersChanged
 
 
 class Proposal(NamedTuple):
--- a/zinclever/mesh/consensus/quorum.py
+++ b/zinclever/mesh/consensus/quorum.py
@@ -1,14 +1,42 @@
-"""Views: who has a voice, how many voices settle an entry, who is let in and out. Pure."""
+"""Voters: how many disks commit an entry, who is taken into the set and who goes out of it. Pure.
+
+The set has a target size, :func:`target_size`. Silence alone never takes it below that: a voter goes out only for a
+newcomer that takes its place, or where there are more voters than the target."""
 
 from __future__ import annotations
 
+import enum
 import hashlib
 from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 from ..transport.mesh_pb2 import LogEntry, Voter
 
-UNHEARD_TIMEOUT = 0.8  # s unheard after which a member may give its voter to one that waits
-EXTRA_VOTER_DELAY = 1.6  # s that a newcomer waits for a voter to come free, before it is given one more
+UNHEARD_TIMEOUT = 0.8  # s unheard after which a voter is doubted: no voter is added beyond the target meanwhile
+VOTER_LOST_TIMEOUT = 2.0  # s unheard after which a newcomer takes a voter's place, or one beyond the target goes out
+EXTRA_VOTER_DELAY = 1.6  # s that a newcomer waits for a place to come free, before the voters are one more than needed
+
+
+class VoterChangeReason(enum.Enum):
+    """Why the set of voters changes."""
+
+    NEW_DISK = "a machine came back with another disk"
+    REPLACES_LEAVING = "a newcomer takes the place of a voter that leaves"
+    REPLACES_LOST = "a newcomer takes the place of a voter that was not heard for long"
+    BELOW_TARGET = "there are fewer voters than the fault model needs"
+    JOINED = "a newcomer joins a set in which nobody is missing"
+    LEFT = "a voter beyond the target leaves"
+    LOST = "a voter beyond the target was not heard for long"
+
+
+@dataclass(frozen=True, slots=True)
+class VoterChange:
+    """One step from a set of voters to the next."""
+
+    voters: list[Voter]
+    reason: VoterChangeReason
+    added: Voter | None = None
+    removed: Voter | None = None
 
 
 def disk_ids(voters: Iterable[Voter]) -> list[str]:
@@ -48,37 +76,56 @@
     return bool(entry.previous_voters) and disk_ids(entry.previous_voters) != disk_ids(entry.voters)
 
 
+def target_size(founding_size: int, losses: int) -> int:
+    """The least size of the set: while ``losses`` of so many are gone, the rest are a majority."""
+    return max(1, founding_size, 2 * losses + 1)
+
+
 def next_voters(
     committed: LogEntry,
     leader: str,
-    waiting: Mapping[str, tuple[Voter, float]],
+    newcomers: Mapping[str, tuple[Voter, float]],
     heard_at: Mapping[str, float],
     now: float,
-) -> list[Voter] | None:
-    """The voters that should follow, or None where this one should stay.
-
-    One step at a time: a machine that came back with another disk takes its own voter; a newcomer takes the voter of a
-    member that is not heard of, or is given one more where none is free; a member beyond the first number of voices
-    that is not heard of goes out.
+    losses: int = 1,
+    leaving: Collection[str] = (),
+) -> VoterChange | None:
+    """The one step that is due, or None where the voters should stay as they are.
+
+    ``newcomers`` are learners that have the state, and since when they wait. Each takes the first of these that there
+    is: the place of its own machine's former disk, of a voter that leaves, of one that was not heard for long, a place
+    that is missing to the target, one more place. Then, above the target, a voter that leaves goes out, or one that was
+    not heard for long: whoever is gone, a smaller set needs fewer of the rest.
     """
     voters = list(committed.voters)
+    target = target_size(committed.founding_size, losses)
 
-    def dead(s: Voter) -> bool:
-        return s.disk != leader and now - heard_at.get(s.disk, -1e9) > UNHEARD_TIMEOUT
+    def unheard(voter: Voter, span: float) -> bool:
+        return voter.disk != leader and now - heard_at.get(voter.disk, -1e9) > span
 
-    for voter, since in sorted(waiting.values(), key=lambda w: (w[1], w[0].disk)):
-        if voter.disk in disk_ids(voters):
+    gone = next((v for v in voters if v.disk in leaving and v.disk != leader), None)
+    lost = next((v for v in voters if unheard(v, VOTER_LOST_TIMEOUT)), None)
+    for voter, since in sorted(newcomers.values(), key=lambda w: (w[1], w[0].disk)):
+        if voter.disk in disk_ids(voters) or voter.disk in leaving:
             continue
-        for n, old in enumerate(voters):
-            if (old.ip, old.port) == (voter.ip, voter.port):
-                return [*voters[:n], voter, *voters[n + 1 :]]
-        for n, old in enumerate(voters):
-            if dead(old):
-                return [*voters[:n], voter, *voters[n + 1 :]]
-        if now - since > EXTRA_VOTER_DELAY:
-            return [*voters, voter]
-    if len(voters) > max(1, committed.founding_size):
-        for n, old in enumerate(voters):
-            if dead(old):
-                return [*voters[:n], *voters[n + 1 :]]
+        former = next((v for v in voters if (v.ip, v.port) == (voter.ip, voter.port)), None)
+        if former is not None:
+            return replaced(voters, former, voter, VoterChangeReason.NEW_DISK)
+        if gone is not None:
+            return replaced(voters, gone, voter, VoterChangeReason.REPLACES_LEAVING)
+        if lost is not None:
+            return replaced(voters, lost, voter, VoterChangeReason.REPLACES_LOST)
+        if len(voters) < target:
+            return VoterChange([*voters, voter], VoterChangeReason.BELOW_TARGET, added=voter)
+        doubted = any(unheard(v, UNHEARD_TIMEOUT) for v in voters)
+        if not doubted and now - since > EXTRA_VOTER_DELAY:
+            return VoterChange([*voters, voter], VoterChangeReason.JOINED, added=voter)
+    if len(voters) > target:
+        out, reason = (gone, VoterChangeReason.LEFT) if gone is not None else (lost, VoterChangeReason.LOST)
+        if out is not None:
+            return VoterChange([v for v in voters if v.disk != out.disk], reason, removed=out)
     return None
+
+
+def replaced(voters: Sequence[Voter], old: Voter, new: Voter, reason: VoterChangeReason) -> VoterChange:
+    return VoterChange([new if v.disk == old.disk else v for v in voters], reason, added=new, removed=old)
--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -16,8 +16,8 @@
 
 from ..transport.mesh_pb2 import AppliedCall, ConsensusMessage, LogEntry, Voter
 from .client_calls import REMEMBERED
-from .messages import Kind, Proposal, ReplicaRole, Reply, Send, Vote
-from .quorum import changes_voters, digest, disk_ids, has_commit_quorum, has_majority, next_voters
+from .messages import Kind, Proposal, ReplicaRole, Reply, Send, Vote, VotersChanged
+from .quorum import VoterChange, changes_voters, digest, disk_ids, has_commit_quorum, has_majority
 from .replica_state import ReplicaState
 
 HEARTBEAT_INTERVAL = 0.1  # s between two words of a member to the others
@@ -40,10 +40,13 @@
     # --- turns ---
 
     def tick(self, now: float) -> None:
+        self.voter_changes.tick(now)
         if now - self.heartbeat_at >= HEARTBEAT_INTERVAL:
             self.heartbeat_at = now
             for voter in self.others():
                 self.send(voter, self.heartbeat())
+                if self.leaving:
+                    self.send(voter, ConsensusMessage(kind=Kind.LEAVE, disk=self.me.disk, voter=self.me))
         if self.role is ReplicaRole.LEARNER:
             self.found_cluster(now)
         elif self.role is ReplicaRole.FOLLOWER:
@@ -73,7 +76,7 @@
 
     def check_leader(self, now: float) -> None:
         """Whether the leader is still heard of; the first live one in order after it takes over."""
-        if not self.is_voter():
+        if not self.is_voter() or self.leaving:
             return
         voters = disk_ids(self.voters())
         live = {d for d, at in self.heard_at.items() if now - at < ELECTION_TIMEOUT} | {self.me.disk}
@@ -125,22 +128,48 @@
             self.leader_heard_at = now
             return
         if self.proposed is not None:
-            if now - self.proposed_at > RESEND_AFTER:
+            if self.is_committed(now, self.proposed):  # one that had it and left counts again, or is out
+                self.finish_proposal(now, self.proposed)
+            elif now - self.proposed_at > RESEND_AFTER:
                 self.proposed_at = now
                 self.offer(self.proposed, self.have)
             return
         self.catch_up(now)
+        settled = not changes_voters(self.committed)
+        change = self.next_change(now) if settled else None
+        if change is not None:
+            self.propose(now, self.next_entry(change.voters))
+            return
         if self.calls.waiting:
             self.start_call(now)
-        if self.proposed is None and changes_voters(self.committed):
+        if self.proposed is None and not settled:
             # One more entry that needs the new voters alone: until it is on enough disks, a member that starts and
-            # finds
-            # the entry of voters can't know that it was committed, and would need a majority of the old one, too.
+            # finds the entry before can't know that it was committed, and would need a majority of the old ones, too.
             self.propose(now, self.next_entry(list(self.committed.voters)))
         if self.proposed is None:
-            voters = next_voters(self.committed, self.me.disk, self.waiting, self.heard_at, now)
-            if voters is not None:
-                self.propose(now, self.next_entry(voters))
+            self.offer_committed(now)
+            self.let_go_who_leaves()
+
+    def next_change(self, now: float) -> VoterChange | None:
+        return self.voter_changes.next(self.committed, self.me.disk, self.heard_at, now, self.losses)
+
+    def offer_committed(self, now: float) -> None:
+        """Learners get the committed entry, and voters that may lack it while one of them leaves; as a proposal, since
+        that is acknowledged once it is durable."""
+        for voter in self.voter_changes.lacking(now, self.committed):
+            self.send_append(voter, self.committed)
+
+    def let_go_who_leaves(self) -> None:
+        """Those that leave may end once what is committed stays on enough other disks."""
+        if not self.voter_changes.stays_elsewhere(self.committed, self.losses):
+            return
+        for disk in self.voter_changes.leaving:
+            told = next((h for h in self.heartbeats.values() if h.disk == disk), None)
+            if told is not None:
+                self.send(
+                    told.voter,
+                    ConsensusMessage(kind=Kind.LEAVE_REPLY, disk=self.me.disk, term=self.term, granted=True),
+                )
 
     def catch_up(self, now: float) -> None:
         """Members that send for a while that they lack what is committed, or have it otherwise than the rest, get it
@@ -177,6 +206,20 @@
             self.become(ReplicaRole.FOLLOWER, now)
             self.leader_heard_at = now
 
+    def leave(self, now: float) -> None:
+        """This member is about to end, for good or to start again, which it can't know: it hands the lead on and asks
+        the leader, with each heartbeat, to make sure that nothing depends on it."""
+        self.leaving = True
+        if self.role is ReplicaRole.CANDIDATE:
+            self.become(ReplicaRole.FOLLOWER, now)
+        self.hand_over(now)
+
+    def may_end(self, now: float) -> bool:
+        """Whether nothing depends on this member any more, or nobody is there whom waiting would help."""
+        staying = [v for v in self.others() if v.disk not in self.voter_changes.leaving]
+        heard = any(now - self.heard_at.get(v.disk, -1e9) < ELECTION_TIMEOUT for v in staying)
+        return self.let_go or not self.is_voter() or not heard
+
     # --- the first voters ---
 
     def found_cluster(self, now: float) -> None:
@@ -228,6 +271,10 @@
         elif m.kind == Kind.HAND_OVER and m.disk == self.leader and m.term >= self.vote.term:
             self.heard_at.pop(m.disk, None)  # it is passed over ...
             self.leader_heard_at = now - ELECTION_TIMEOUT  # ... and the next one needn't wait for its silence
+        elif m.kind == Kind.LEAVE:
+            self.voter_changes.leaves(now, m.disk)
+        elif m.kind == Kind.LEAVE_REPLY and m.granted and m.disk == self.leader and m.term >= self.vote.term:
+            self.let_go = self.leaving
 
     def on_heartbeat(self, now: float, m: ConsensusMessage) -> None:
         voter = m.voter
@@ -242,9 +289,7 @@
             elif self.accepted is not None and (m.number, m.term) == (self.accepted.number, self.accepted.term):
                 self.commit(now, self.accepted)
         if self.role is ReplicaRole.LEADER and m.disk not in disk_ids(self.committed.voters):
-            since = self.waiting.get(m.disk, (voter, now))[1]
-            self.waiting = {d: w for d, w in self.waiting.items() if (w[0].ip, w[0].port) != (voter.ip, voter.port)}
-            self.waiting[m.disk] = (voter, since)
+            self.voter_changes.heartbeat(now, voter)
 
     def follow(self, now: float, disk: str, term: int) -> None:
         """Another acts under a term that this member doesn't refuse."""
@@ -296,7 +341,6 @@
             self.become(ReplicaRole.FOLLOWER if self.is_voter() else ReplicaRole.LEARNER, now)
             return
         self.become(ReplicaRole.LEADER, now)
-        self.waiting.clear()
         again = LogEntry()
         again.CopyFrom(best)
         again.term = self.term
@@ -324,10 +368,13 @@
         voters = {s.disk: s for s in (*entry.previous_voters, *entry.voters)}
         for disk, voter in voters.items():
             if disk not in have:
-                self.send(
-                    voter,
-                    ConsensusMessage(kind=Kind.APPEND, disk=self.me.disk, term=self.term, entry=entry, voter=self.me),
-                )
+                self.send_append(voter, entry)
+
+    def send_append(self, voter: Voter, entry: LogEntry) -> None:
+        self.send(
+            voter,
+            ConsensusMessage(kind=Kind.APPEND, disk=self.me.disk, term=self.term, entry=entry, voter=self.me),
+        )
 
     def on_append(self, now: float, m: ConsensusMessage) -> None:
         entry = m.entry
@@ -348,6 +395,8 @@
             return
         if m.disk != self.me.disk:
             self.follow(now, m.disk, m.term)
+        if self.has_newer(entry):
+            return  # said earlier by the same leader, and come late: what was promised since stays promised
         self.vote = Vote(m.term, m.disk)
         answer = ConsensusMessage(
             kind=Kind.APPEND_REPLY, disk=self.me.disk, term=m.term, number=entry.number, granted=True
@@ -355,6 +404,11 @@
         voter = self.voter_of(m)
         self.persist(entry, [Send(voter, answer)] if voter is not None else [])
 
+    def has_newer(self, entry: LogEntry) -> bool:
+        """Whether this member has, or is about to have, a later entry of the same term."""
+        taken = [self.accepted, *(p.accepted for p in self.persisting.values())]
+        return any(e is not None and e.term == entry.term and e.number > entry.number for e in taken)
+
     def conflicts_with_founding(self, entry: LogEntry) -> bool:
         """Whether this would be a second first voters."""
         if entry.number != 1:
@@ -365,28 +419,45 @@
     def on_append_reply(self, now: float, m: ConsensusMessage) -> None:
         if not m.granted and m.round >= self.term and self.role is ReplicaRole.LEADER:
             self.become(ReplicaRole.FOLLOWER, now)
-            if m.round == self.term and self.is_voter():
+            if m.round > self.vote.term:
+                self.vote = Vote(m.round, "")  # the next try is above it
+            elif self.is_voter() and not self.leaving:
                 # It courted under the same term and has vowed that to itself: it follows this one now, and would
                 # refuse it for good. Only a term above can have both.
                 self.start_election(now)
             return
-        entry = self.proposed
-        if self.role is not ReplicaRole.LEADER or entry is None or m.term != self.term or m.number != entry.number:
+        if self.role is not ReplicaRole.LEADER or m.term != self.term or not m.granted:
             return
-        if not m.granted:
+        self.voter_changes.acknowledged(m.disk, m.number)
+        entry = self.proposed
+        if entry is None or m.number != entry.number:
             return
         self.have.add(m.disk)
+        if self.is_committed(now, entry):
+            self.finish_proposal(now, entry)
+
+    def is_committed(self, now: float, entry: LogEntry) -> bool:
+        """Whether enough disks have it: of the voters after it as many as the fault model asks, of those before it a
+        majority, which meets every quorum of theirs."""
         first = entry.number == 1 and not self.committed.number and entry.term == 1
-        before = entry.previous_voters if entry.number > self.committed.number else []
-        views = [list(v) for v in (before, entry.voters) if v]
         losses = len(entry.voters) - 1 if first else self.losses
-        if all(has_commit_quorum(v, self.have, losses) for v in views):
-            self.proposed = None
-            self.commit(now, entry)
-            self.calls.committed()
-            self.heartbeat_at = -1e9  # the others receive of it at once
-            if self.role is ReplicaRole.LEADER:
-                self.tick(now)
+        before = entry.previous_voters if entry.number > self.committed.number else []
+        if before and not has_majority(before, self.have):
+            return False
+        live = {d for d, at in self.heard_at.items() if now - at < ELECTION_TIMEOUT} | {self.me.disk}
+        counted = self.voter_changes.counted(entry.voters, self.have, live, losses)
+        return has_commit_quorum(entry.voters, counted, losses)
+
+    def finish_proposal(self, now: float, entry: LogEntry) -> None:
+        self.proposed = None
+        change, self.voter_changes.change = self.voter_changes.change, None
+        if change is not None and changes_voters(entry):
+            self.out.append(VotersChanged(entry.number, change))
+        self.commit(now, entry)
+        self.calls.committed()
+        self.heartbeat_at = -1e9  # the others receive of it at once
+        if self.role is ReplicaRole.LEADER:
+            self.tick(now)
 
     def take_committed(self, now: float, entry: LogEntry) -> None:
         """The leader says what is committed."""
--- a/zinclever/mesh/consensus/replica_state.py
+++ b/zinclever/mesh/consensus/replica_state.py
@@ -7,6 +7,7 @@
 from .client_calls import ClientCalls
 from .messages import Action, Commit, Kind, Persist, ReplicaRole, Reply, Send, Vote
 from .quorum import digest, disk_ids
+from .voter_changes import VoterChanges
 
 
 class ReplicaState:
@@ -33,7 +34,11 @@
         self.heard_at: dict[str, float] = {}
         self.told: dict[str, tuple[int, int]] = {}  # committed number of each member and its digest, as it told
         self.digest = 0  # of what is committed here
-        self.waiting: dict[str, tuple[Voter, float]] = {}
+        self.voter_changes = VoterChanges(now)
+        self.leaving = False
+        """This member is about to end: it takes no more part in elections."""
+        self.let_go = False
+        """The leader has said that nothing depends on this member any more."""
         self.heartbeats: dict[tuple[str, int], ConsensusMessage] = {}  # the latest of each address
         self.known: list[tuple[str, int]] = []  # where members may be, besides the founders
         self.behind: dict[str, float] = {}  # members that lack what is committed, and since when
@@ -48,7 +53,7 @@
         self.proposed_at = 0.0
         self.have: set[str] = set()  # disk_ids that have what is proposed
         self.calls = ClientCalls(self.reply)
-        if self.voters():
+        if self.is_voter():
             self.become(ReplicaRole.FOLLOWER, now)
 
     def become(self, role: ReplicaRole, now: float) -> None:
@@ -61,6 +66,7 @@
             self.proposed = None
         if role is ReplicaRole.LEADER:
             self.leader, self.leader_heard_at = self.me.disk, now
+            self.voter_changes.begin()
         elif self.leader == self.me.disk:
             self.leader = ""
         self.role, self.role_since = role, now
@@ -90,8 +96,7 @@
         self.committed = LogEntry()
         self.committed.CopyFrom(entry)
         self.digest = digest(entry)
-        for disk in disk_ids(entry.voters):
-            self.waiting.pop(disk, None)
+        self.voter_changes.admitted(entry.voters)
         self.out.append(Commit(entry))
         is_voter = self.me.disk in disk_ids(entry.voters)
         if self.role is ReplicaRole.LEARNER and is_voter:
--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -14,7 +14,7 @@
 from ...core.protocol import read_address
 from ...http1.heads import Answer
 from ..configuration.document import read
-from ..consensus.messages import Action, Commit, Persist, ReplicaRole, Reply, Send
+from ..consensus.messages import Action, Commit, Persist, ReplicaRole, Reply, Send, VotersChanged
 from ..consensus.replica import Replica
 from ..consensus.store import Store
 from ..control_api.desk import Call, ControlApi, Handler, refuse, say
@@ -37,6 +37,7 @@
 KNOWN_FOR = 0.8  # s in which news that was acknowledged has to be known to others
 LARGE = 64 * 1024  # bytes of a configuration from which on it is checked in a thread
 BACKLOG = 1024
+LEAVE_WITHIN = 0.8  # of the grace of a SIGTERM, after which this member ends whoever depends on it
 
 
 class ControlRole:
@@ -91,14 +92,13 @@
         self.node.reload(boot)
 
     async def stop(self, grace: float) -> None:
-        """What has been asked is answered, then others are told."""
+        """What has been asked is answered; then what this member has is made sure to be elsewhere, and it leaves."""
         if self.control_api is not None:
             self.control_api.begin_drain()
         began = self.loop.time()
         while self.calls and self.loop.time() - began < grace / 2:
             await asyncio.sleep(0.02)
-        self.replica.hand_over(self.loop.time())
-        self.work()
+        await self.leave(began + LEAVE_WITHIN * grace)
         if self.server is not None:
             self.server.close()
         if self.control_api is not None:
@@ -108,6 +108,19 @@
         self.node.stop()
         self.store.close()
 
+    async def leave(self, until: float) -> None:
+        """Hand the lead on, and wait until nothing depends on this member: it may be gone for good after this."""
+        self.replica.leave(self.loop.time())
+        self.work()
+        while not self.replica.may_end(self.loop.time()):
+            if self.loop.time() > until:
+                log.warning(
+                    "ends without a word of the leader that its state is elsewhere",
+                    extra={"code": "LEAVE_TIMEOUT", "number": self.replica.committed.number},
+                )
+                return
+            await asyncio.sleep(0.02)
+
     # --- the order ---
 
     def turn(self) -> None:
@@ -155,11 +168,30 @@
             entry = act.entry
             if entry.text:
                 self.node.in_force(entry.number, entry.generation, entry.text)
+        elif isinstance(act, VotersChanged):
+            self.log_voters(act)
         elif isinstance(act, Reply):
             waiting = self.calls.pop(act.call, None)
             if waiting is not None and not waiting.done():
                 waiting.set_result((act.status, act.text))
 
+    def log_voters(self, act: VotersChanged) -> None:
+        """One line for each change of the voters, at the leader: who, and why."""
+        added, removed = act.change.added, act.change.removed
+        log.info(
+            "the voters changed: %s",
+            act.change.reason.value,
+            extra={
+                "code": "VOTERS_CHANGED",
+                "reason": act.change.reason.name,
+                "added": f"{added.name} {added.disk}" if added is not None else "",
+                "removed": f"{removed.name} {removed.disk}" if removed is not None else "",
+                "voters": [v.name for v in act.change.voters],
+                "number": act.number,
+                "term": self.replica.term,
+            },
+        )
+
     def on_saved(self, token: int, good: bool) -> None:
         self.replica.persisted(self.loop.time(), token, good)
         self.work()
