--- a/tests/mesh/test_voters.py
+++ b/tests/mesh/test_voters.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import copy
 import unittest
+from collections.abc import Iterator
 
+from mesh.cases import params
 from zinclever.mesh.model.members import World
 
 DRAWS = 18
@@ -56,6 +59,264 @@
                 self.assertEqual(len(w.leaders()), 1)
                 self.assertTrue(w.reads(w.leaders()[0]))
 
+    @params((5, 2, 3), (3, 1, 3), (3, 1, 2), (5, 1, 3), (7, 2, 3))
+    def test_all_of_the_core_join(self, members: int, losses: int, founders: int) -> None:
+        w = core(1, members, losses, founders)
+        self.assertEqual(len(voters(w)), members)
+
+    def test_a_seed_away_while_the_set_is_below_the_target(self) -> None:
+        """Three of five have founded the set and one of them is gone before the others join: they join all the same."""
+        w = World(1, 3, 2)
+        w.run(2.0)
+        w.kill(follower(w))
+        w.add("10.0.0.10")
+        w.add("10.0.0.11")
+        w.run(2.0)
+        self.assertEqual(len(voters(w)), 5)
+        w.put(w.leaders()[0], 0, 1)
+        w.run(0.5)
+        self.assertIn(1, w.acked)
+
+    def test_one_beyond_the_target_goes_out_once_it_is_long_unheard(self) -> None:
+        w = core(1, 4, 1, 3)
+        self.assertEqual(len(voters(w)), 4)
+        w.kill(follower(w))
+        w.run(1.5)
+        self.assertEqual(len(voters(w)), 4)
+        w.run(1.5)
+        self.assertEqual(len(voters(w)), 3)
+
+    def test_a_leader_that_stood_still_takes_nobody_for_lost(self) -> None:
+        """Its own silence isn't theirs: it drops no voter beyond the target in its first instants."""
+        for seed in range(6):
+            w = core(seed, 4, 1, 3)
+            (leader,) = w.leaders()
+            for ip in w.machines:
+                w.freeze(ip)
+            w.run(5.0)
+            w.thaw(leader)
+            w.run(0.3)
+            for ip in list(w.frozen):
+                w.thaw(ip)
+            w.run(2.0)
+            self.assertEqual(len(voters(w)), 4)
+            self.assertEqual(len(w.leaders()), 1)
+
+    def test_a_learner_whose_disk_takes_nothing_gets_no_vote(self) -> None:
+        w = core(1, 3, 1, 3)
+        w.add("10.0.0.10")
+        w.full = {"10.0.0.10"}
+        w.run(4.0)
+        self.assertEqual(len(voters(w)), 3)
+        w.full = set()
+        w.run(3.0)
+        self.assertEqual(len(voters(w)), 4)
+
+    def test_a_learner_that_started_again_is_still_taken_in(self) -> None:
+        w = core(1, 3, 1, 3)
+        w.add("10.0.0.10")
+        w.run(1.0)  # it has the entry, and no vote yet
+        self.assertIsNotNone(w.machines["10.0.0.10"].disk.accepted)
+        w.kill("10.0.0.10")
+        w.start("10.0.0.10")
+        w.run(3.0)
+        self.assertEqual(len(voters(w)), 4)
+
+
+class Leaving(unittest.TestCase):
+    def only_copy(self, seed: int, leads: bool) -> tuple[World, str, str]:
+        """A world of three, one that leaves, and one that lacks the newest version: just two disks have it."""
+        w = core(seed, 3, 1, 3)
+        (leader,) = w.leaders()
+        leaver = leader if leads else follower(w)
+        lacking = next(ip for ip in w.machines if ip not in (leader, leaver))
+        w.cut_off(lacking)
+        w.put(leader, 1, 2)
+        w.run(0.3)
+        self.assertIn(2, w.acked)
+        w.cut.clear()
+        return w, leaver, lacking
+
+    @params(False, True)
+    def test_one_that_leaves_never_holds_the_only_copy(self, leads: bool) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                w, leaver, _ = self.only_copy(seed, leads)
+                w.terminate(leaver)
+                while leaver in w.ending:
+                    w.run(0.01)
+                others = [m for ip, m in w.machines.items() if ip != leaver]
+                for m in others:
+                    assert m.disk.accepted is not None
+                    self.assertEqual(m.disk.accepted.generation, 2)
+                self.assertEqual(len(voters(w)), 3)
+
+    def test_a_version_taken_while_one_leaves_is_on_the_others_disks(self) -> None:
+        """What is acknowledged between SIGTERM and the end is elsewhere at the end; the third one is slow."""
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                w = core(seed, 3, 1, 3)
+                leaver, (leader,) = follower(w), w.leaders()
+                third = next(ip for ip in w.machines if ip not in (leader, leaver))
+                w.cut_off(third)
+                w.terminate(leaver)
+                w.run(0.005 * seed)
+                w.put(leader, 1, 2)
+                w.run(0.3)
+                self.assertIn(leaver, w.ending)
+                w.cut.clear()
+                while leaver in w.ending:
+                    w.run(0.01)
+                w.run(0.2)
+                kept = w.machines[third].disk.accepted
+                assert kept is not None
+                self.assertEqual((kept.generation, list(w.acked)), (2, [1, 2]))
+
+    def test_restarted_in_turn_the_set_stays_as_it_is(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                w = core(seed, 3, 1, 3)
+                before = disks(w)
+                for ip in list(w.machines):
+                    w.terminate(ip)
+                    began = w.now
+                    while ip in w.ending:
+                        w.run(0.01)
+                    self.assertLess(w.now - began, 1.5)
+                    self.assertEqual(disks(w), before)
+                    w.run(1.0)
+                    w.start(ip)
+                    w.run(1.0)
+                self.assertEqual(disks(w), before)
+                w.nothing_lost()
+
+    def test_beyond_the_target_a_restart_comes_back_in(self) -> None:
+        w = core(1, 5, 1, 3)
+        ip = follower(w)
+        w.terminate(ip)
+        w.run(1.0)
+        self.assertEqual(len(voters(w)), 4)
+        w.start(ip)
+        w.run(3.0)
+        self.assertEqual(len(voters(w)), 5)
+
+    def test_all_at_once_wait_for_nobody(self) -> None:
+        w = core(1, 3, 1, 3)
+        for ip in list(w.machines):
+            w.terminate(ip)
+        w.run(1.2)
+        self.assertFalse(w.ending)
+
+    def test_the_last_two_of_three(self) -> None:
+        """One is gone: the other two are all that there is, and the one that leaves waits no longer than its grace."""
+        w = core(1, 3, 1, 3)
+        w.kill(follower(w))
+        w.run(1.0)
+        w.terminate(w.leaders()[0], grace=2.0)
+        w.run(2.1)
+        self.assertFalse(w.ending)
+
+    @params(False, True)
+    def test_planned_replacement(self, leads: bool) -> None:
+        """The new one starts, and has had its time; the old one gets SIGTERM and is gone. A disk is lost right then."""
+        for seed in range(8):
+            for which in range(3):
+                with self.subTest(seed=seed, which=which):
+                    w = core(seed, 3, 1, 3)
+                    old = w.leaders()[0] if leads else follower(w)
+                    w.add("10.0.0.10")
+                    w.run(4.0)
+                    w.terminate(old, gone=True)
+                    while old in w.ending:
+                        w.run(0.01)
+                    self.assertNotIn(old, voters(w))
+                    self.assertEqual(len(voters(w)), 3)
+                    lost = sorted(w.machines)[which]
+                    w.wipe(lost)
+                    for ip in list(w.machines):
+                        w.kill(ip)
+                    w.quiet(4.0)
+                    w.nothing_lost()
+                    self.assertTrue(w.leaders() and w.reads(w.leaders()[0]))
+
+
+class SecondLoss(unittest.TestCase):
+    """Every step of a repair, 20 ms apart: one more disk is lost there, at times with all power."""
+
+    FINE, COARSE = 0.02, 0.2
+    """s between two steps: fine ones where the set changes, at the start and when a lost voter's place is taken."""
+
+    def steps(self) -> Iterator[float]:
+        at = 0.0
+        while at < 2.6:
+            yield at
+            at += self.FINE if at < 0.4 or 1.95 < at < 2.35 else self.COARSE
+
+    def repair(self, w: World, kind: str, victim: str) -> None:
+        if kind == "disk lost":
+            w.wipe(victim)
+            w.start(victim)
+        elif kind == "replaced":
+            w.remove(victim)
+            w.add("10.0.0.20")
+        elif kind == "left":
+            w.terminate(victim, gone=True)
+
+    @params(
+        ("disk lost", False),
+        ("disk lost", True),
+        ("replaced", False),
+        ("replaced", True),
+        ("left", False),
+        ("left", True),
+    )
+    def test_at_each_step(self, kind: str, leads: bool) -> None:
+        # One is out for the repair and one more is lost: that is what losses of 2 have to bear at any instant. In a
+        # planned replacement nobody is out: its successor has long had a vote, and losses of 1 have to be borne.
+        start = core(3, 5, 2, 3) if kind != "left" else core(3, 4, 1, 3)
+        victim = start.leaders()[0] if leads else follower(start)
+        self.repair(start, kind, victim)
+        began = start.now
+        for n, at in enumerate(self.steps()):
+            if at:
+                start.run(began + at - start.now)
+            if n % 7 == 3 and start.leaders():  # versions go on meanwhile
+                newest = start.newest().generation
+                start.put(start.leaders()[0], newest, newest + 1)
+            with self.subTest(at=at):
+                w = copy.deepcopy(start)
+                lost = w.rng.choice([ip for ip in w.machines if ip != victim and ip not in w.ending])
+                if n % 2:
+                    for ip in list(w.machines):
+                        w.kill(ip)
+                w.wipe(lost)
+                w.quiet(2.5)
+                w.nothing_lost()
+                w.one_winner()
+                self.assertTrue(w.leaders() and w.reads(w.leaders()[0]))
+
+    def test_one_repair_after_another(self) -> None:
+        """Each machine in turn is replaced, in a different way, and has CatchupS; then comes the next."""
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                w = core(seed, 3, 1, 3)
+                for n, kind in enumerate(("replaced", "disk lost", "left", "replaced", "disk lost", "left")):
+                    newest = w.newest().generation
+                    w.put(w.leaders()[0], newest, newest + 1)
+                    victim = sorted(w.machines)[0]
+                    if kind == "left":
+                        w.add(f"10.0.0.{30 + n}")
+                        w.run(4.0)
+                    if kind == "replaced":
+                        w.remove(victim)
+                        w.add(f"10.0.0.{30 + n}")
+                    else:
+                        self.repair(w, kind, victim)
+                    w.run(4.0)
+                    self.assertEqual(len(voters(w)), 3)
+                    self.assertEqual(voters(w), set(w.machines))
+                    w.nothing_lost()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/zinclever/mesh/model/members.py
+++ b/zinclever/mesh/model/members.py
@@ -73,6 +73,8 @@
         """By number: the entry, but for its term."""
         self.frozen: dict[str, list[ConsensusMessage]] = {}
         """What has come for machines that stand still."""
+        self.ending: dict[str, tuple[float, bool]] = {}
+        """Members that got SIGTERM: when they are killed, and whether the machine goes with them."""
         for ip, _ in addresses:
             self.add(ip, bootstrap=True)
 
@@ -97,6 +99,8 @@
     def kill(self, ip: str, some: bool = True) -> None:
         """Power is lost: of what is not synced a first part may be on the disk."""
         m = self.machines[ip]
+        self.frozen.pop(ip, None)
+        self.ending.pop(ip, None)
         if some and m.persisting:
             for act in m.persisting[: self.rng.randrange(len(m.persisting) + 1)]:
                 self.write(m, act)
@@ -113,6 +117,20 @@
         self.kill(ip)
         del self.machines[ip]
 
+    def terminate(self, ip: str, gone: bool = False, grace: float = 4.8) -> None:
+        """SIGTERM: the member leaves, and ends once it may or its grace is over; ``gone``: with its machine."""
+        m = self.machines[ip]
+        assert m.replica is not None
+        self.ending[ip] = (self.now + grace, gone)
+        m.replica.leave(self.now)
+        self.carry_out(m)
+
+    def end(self, ip: str) -> None:
+        gone = self.ending[ip][1]
+        self.kill(ip, some=False)
+        if gone:
+            del self.machines[ip]
+
     def freeze(self, ip: str) -> None:
         """The process stands still; what comes for it is kept, and its disk does nothing."""
         self.frozen[ip] = []
@@ -166,6 +184,8 @@
         m.replica.known = [(o, 1) for o in self.machines]
         m.replica.tick(self.now)
         self.carry_out(m)
+        if ip in self.ending and (m.replica.may_end(self.now) or self.now > self.ending[ip][0]):
+            self.end(ip)
 
     def carry_out(self, m: Machine) -> None:
         assert m.replica is not None
@@ -280,6 +300,8 @@
         """No troubles from here on: everything comes together."""
         self.cut.clear()
         self.full.clear()
+        for ip in list(self.frozen):
+            self.thaw(ip)
         self.loss = self.doubles = 0.0
         for ip, m in self.machines.items():
             if m.replica is None:
