Disk: marks are made by open, write and sync; a guard that fails is one alarm

Damage to what was promised was never told from a save cut short.

Change: a mark is opened, written and synced, and its folder; whether it is there is read from the folder's list. A mark that can't be made is one line DISK_UNMARKED (and DISK_MARKED when it can again) and a count, Disk.unmarked, in the view.

Found on the way, each with a test: - after a save that was refused, the mark went to its unused number: with marks that work, a restart would have taken the disk for lost; - the look in service judged that unused number as damage; - a vote read after a kill between writing and syncing it was granted again without being synced: power lost then could let a member vote twice in a term; - the vote's marks are no longer waited for before the vote is answered.

--- a/benchmarks/disk.py
+++ b/benchmarks/disk.py
@@ -34,8 +34,8 @@
 
     def mark(self, path: Path) -> None:
         super().mark(path)
-        self.syncs += 1
-        time.sleep(self.each)
+        self.syncs += 2
+        time.sleep(2 * self.each)
 
 
 def measure(size: float, each: float) -> str:
--- a/zinclever/mesh/consensus/store.py
+++ b/zinclever/mesh/consensus/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import uuid
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -28,7 +29,7 @@
     """Owns the folder's files and the one thread that writes them."""
 
     def __init__(self, folder: Path, files: Files | None = None) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
+        ensure_folder(folder)
         self.votes, self.changes = Generations(folder, VOTE_FILES, files), Generations(folder, ENTRY_FILES, files)
         self.thread = ThreadPoolExecutor(1, thread_name_prefix="storage")
         self.loop = asyncio.get_running_loop()
@@ -36,7 +37,9 @@
         self.vote = Vote(0, "")
         self.change: LogEntry | None = None
         self.full = False
-        self.counts = {"saves": 0, "refused": 0, "looks": 0, "mended": 0}
+        self.counts = {"saves": 0, "refused": 0, "looks": 0, "mended": 0, "unmarked": 0}
+        """``unmarked``: saves without a mark; damage to one of them could not be told from a save that was cut
+        short."""
         self.looking: asyncio.TimerHandle | None = None
 
     def load(self) -> None:
@@ -58,15 +61,15 @@
         if not self.disk:
             self.disk = uuid.uuid4().hex
             self.write_vote(self.vote)
+            self.mark()
 
     def write_vote(self, vote: Vote) -> None:
         self.votes.save({DISK_KEY: self.disk.encode(), VOTE_KEY: f"{vote.term} {vote.disk}".encode()})
         self.vote = vote
-        self.votes.mark()
 
     def write(self, act: Persist) -> None:
-        """A change holds a vote for its own term: only a higher one is written by itself."""
-        if act.vote != self.vote:
+        """Sync the vote, where it is another one or isn't known to be synced, and then the entry."""
+        if act.vote != self.vote or not self.votes.durable:
             self.write_vote(act.vote)
         if act.accepted is not None:
             self.changes.save({ENTRY_KEY: act.accepted.SerializeToString()})
@@ -77,8 +80,11 @@
         self.loop.run_in_executor(self.thread, self.write, act).add_done_callback(
             lambda f: done(act.token, self.judge(f.exception()))
         )
-        if act.accepted is not None:
-            self.thread.submit(self.changes.mark)
+        self.thread.submit(self.mark)
+
+    def mark(self) -> None:
+        """In the thread, once what was saved has been promised: nobody waits for the marks."""
+        self.counts["unmarked"] += [self.votes.mark(), self.changes.mark()].count(False)
 
     def look(self) -> None:
         """Now and then: whether what is on the disk is as it was saved. Mended in the thread where it is not."""
@@ -93,6 +99,7 @@
         self.loop.run_in_executor(self.thread, lambda: [self.votes.look(), self.changes.look()]).add_done_callback(
             looked
         )
+        self.thread.submit(self.mark)
 
     def judge(self, wrong: BaseException | None) -> bool:
         self.counts["refused"] += wrong is not None
@@ -112,6 +119,14 @@
         self.thread.shutdown(wait=False, cancel_futures=True)
 
 
+def ensure_folder(folder: Path) -> None:
+    """Make the folder where it isn't there. OSError where it can't be used."""
+    try:
+        os.listdir(folder)
+    except FileNotFoundError:
+        folder.mkdir(parents=True)
+
+
 def read_folder(folder: Path) -> dict[str, Any]:
     """What a member has on its disk, read without changing anything. MeshError where there is no state."""
     try:
--- a/zinclever/mesh/storage/generations.py
+++ b/zinclever/mesh/storage/generations.py
@@ -52,15 +52,30 @@
     def list(self, folder: Path) -> list[str]: ...
 
 
+class PlainDatabase(dbm.dumb._Database):
+    """``dbm.dumb`` without its changes of file modes, which the disks of the mesh don't offer."""
+
+    def __init__(self, path: Path, flag: str) -> None:
+        super().__init__(os.fspath(path), "", flag)
+
+    def _chmod(self, file: str) -> None:
+        """Called by the library after it has made a file: the mode stays as it is."""
+
+
 class Disk:
-    """:class:`Files` of the operating system."""
+    """:class:`Files` of the operating system.
+
+    Uses only what the machines of the mesh offer: open, read, write, rename, remove, list, and sync of a file or a
+    folder. ``Path.touch`` and ``Path.exists`` set or ask a file's attributes, which these disks may take no notice of.
+    """
 
     PAIR = (".dat", ".dir", ".bak")
     MARK = ".ok"
+    MARK_TEXT = b"synced\n"
 
     def write(self, path: Path, values: dict[bytes, bytes]) -> None:
         self.remove(path)
-        with dbm.dumb.open(os.fspath(path), "n") as pair:
+        with PlainDatabase(path, "n") as pair:
             for key, value in values.items():
                 pair[key] = value
         path.with_suffix(".bak").unlink(missing_ok=True)
@@ -71,25 +86,28 @@
         fsync(path.parent)
 
     def mark(self, path: Path) -> None:
-        path.with_suffix(self.MARK).touch()
-        fsync(path.with_suffix(self.MARK))
+        with path.with_suffix(self.MARK).open("wb") as mark:
+            mark.write(self.MARK_TEXT)
+            mark.flush()
+            os.fsync(mark.fileno())
+        fsync(path.parent)
 
     def marked(self, path: Path) -> bool:
-        return path.with_suffix(self.MARK).exists()
+        return path.with_suffix(self.MARK).name in os.listdir(path.parent)
 
     def read(self, path: Path) -> Found:
-        if not path.with_suffix(".dat").exists():
+        try:
+            data = path.with_suffix(".dat").read_bytes()
+        except FileNotFoundError:
             return []
         try:
-            return self.read_indexed(path) or scan(path.with_suffix(".dat").read_bytes())
+            return self.read_indexed(path) or scan(data)
         except UNREADABLE:
-            return scan(path.with_suffix(".dat").read_bytes())
+            return scan(data)
 
     def read_indexed(self, path: Path) -> Found:
-        """By the index; nothing where anything is wrong with what it says."""
-        if not path.with_suffix(".dir").exists():
-            return []
-        with dbm.dumb.open(os.fspath(path), "r") as pair:
+        """By the index; nothing where anything is wrong with what it says. OSError where there is none."""
+        with PlainDatabase(path, "r") as pair:
             values = {key: pair[key] for key in pair.keys() if isinstance(key, bytes)}  # noqa: SIM118
         if SEAL in values:  # as version 1 wrote them: each record once, without a checksum of its own
             return [(name, value) for name, value in values.items() for _ in range(COPIES)]
@@ -101,7 +119,7 @@
             path.with_suffix(suffix).unlink(missing_ok=True)
 
     def list(self, folder: Path) -> list[str]:
-        return sorted({p.stem for p in folder.iterdir()})
+        return sorted({Path(name).stem for name in os.listdir(folder)})
 
 
 def fsync(path: Path) -> None:
@@ -149,6 +167,15 @@
         """As they were saved or read last."""
         self.lost = False
         """What was synced can't be read any more."""
+        self.held = 0
+        """The number of the pair that ``records`` is in."""
+        self.durable = False
+        """That pair is known to be synced. One that was read without a mark may be the unsynced work of a process that
+        was killed: nothing may be promised on it before it is saved anew."""
+        self.unmarked: int | None = None
+        """The number of the latest pair, while it is synced and not marked yet."""
+        self.guard_fails = False
+        """The last mark could not be made."""
 
     def path(self, number: int) -> Path:
         return self.folder / f"{self.name}-{number:012d}"
@@ -172,7 +199,8 @@
             path = self.path(number)
             pair = self.read(path)
             if pair is not None:
-                self.records = pair.records
+                self.records, self.held = pair.records, number
+                self.durable = self.files.marked(path)
                 if mend and not pair.sound:
                     self.mend(path)
                 return pair.records
@@ -203,7 +231,7 @@
         """Whether the pair that counts is as it was saved; where it is not, it is written anew from what is held."""
         if self.records is None:
             return True
-        path = self.path(self.number)
+        path = self.path(self.held)
         pair = self.read(path)
         good = pair is not None and pair.sound and pair.records == self.records
         if not good:
@@ -221,19 +249,37 @@
         except OSError:
             self.discard(self.number)
             raise
-        self.records = records
+        self.records, self.held, self.durable = records, self.number, True
+        self.unmarked = self.number
         for number in self.numbers()[KEPT:]:
             self.discard(number)
 
-    def mark(self) -> None:
-        """Note that the latest pair was synced. Not waited for by anybody: without it a pair that is damaged looks like
-        a save that was cut short."""
-        if self.records is None:
-            return
+    def mark(self) -> bool:
+        """Note that the latest pair was synced; whether that could be noted. Not waited for by anybody: without a mark
+        a pair that is damaged looks like a save that was cut short. A save that failed is never marked, as nothing was
+        promised under its number."""
+        if self.unmarked is None:
+            return True
+        path, self.unmarked = self.path(self.unmarked), None
         try:
-            self.files.mark(self.path(self.number))
-        except OSError:
-            log.warning("no mark can be made", extra={"code": "DISK_REFUSES"})
+            self.files.mark(path)
+            wrong = "" if self.files.marked(path) else "made, and not there"
+        except OSError as error:
+            wrong = repr(error)
+        if bool(wrong) != self.guard_fails:
+            self.guard_fails = bool(wrong)
+            self.tell_guard(path, wrong)
+        return not wrong
+
+    def tell_guard(self, path: Path, wrong: str) -> None:
+        """One line when marks begin to fail, and one when they can be made again."""
+        if wrong:
+            log.error(
+                "no mark can be made: damage to what was promised would look like a save that was cut short",
+                extra={"code": "DISK_UNMARKED", "pair": str(path), "error": wrong},
+            )
+        else:
+            log.warning("marks can be made again", extra={"code": "DISK_MARKED", "pair": str(path)})
 
     def discard(self, number: int) -> None:
         try:
