An endpoint's end is acknowledged only on the receipts of others

Cause: a `draining` beat that got 503, as nobody else had the news, got 200 the next time with nobody told: the record was known locally in the same phase. The endpoint's own sidecar acknowledged at once, on nobody's receipt, so a drain was lost with it. A member whose peers were all taken for dead owed no receipt and acknowledged. A receipt was given also for news that changed nothing there, as a record stood above it or there was no room. A ready beat with a higher CallSeq undid a drain, a late beat undid "gone" after silence.

Change: Announcer (roles/endpoint_api.py) tells the core, the keeper and three more sidecars; Audience (membership/acknowledgement.py, pure) says when that is enough: as many members of the core as may be lost besides one that holds it (counts by the fault model, not by who is thought to live), and the keeper, or after 0.4 s of its silence another sidecar. What was confirmed so is remembered by this process (bounded) and confirmed at once. A drain or departure is final for an endpoint's id; "gone" after silence is undone only by a beat said after the last one that was heard; lives of records are not raised any more. Gossip answers news that something stands above with that, and gives no receipt.

Ruled out: counting live peers (an isolated process has none left and would acknowledge); refusing late beats by time.

test_mesh.py: keeper_of is replaced at its new place; no assertion changed.

--- /dev/null
+++ b/tests/mesh/test_endpoint_calls.py
@@ -0,0 +1,234 @@
+"""Beats, drains and departures of endpoints: what is acknowledged, by whom else it is known then, what is final."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from unittest import mock
+
+from mesh.cases import params
+from mesh.cluster import App, Mesh, run, until
+from zinclever.mesh.membership.acknowledgement import KEEPER_FOR, Audience
+from zinclever.mesh.model.field import endpoint
+from zinclever.mesh.roles import endpoint_api
+from zinclever.mesh.roles.endpoint_calls import DRAINING, GONE, LAST, READY, announcement, changes
+from zinclever.mesh.roles.node import Node
+from zinclever.mesh.roles.sidecar import Sidecar
+from zinclever.mesh.transport.mesh_pb2 import Record
+
+
+@contextmanager
+def cut_off(*nodes: Node) -> Iterator[None]:
+    """None of their datagrams reaches anybody; receipts are waited for less long, so that the test is short."""
+    with ExitStack() as stack:
+        stack.enter_context(mock.patch.object(endpoint_api, "ACKNOWLEDGED_WITHIN", 0.15))
+        for node in nodes:
+            stack.enter_context(mock.patch.object(node.gossip_socket, "transport", None))
+        yield
+
+
+async def beat(m: Mesh, app: App, phase: str, ip: str, port: int) -> int:
+    """A beat of an endpoint at any process: the status."""
+    body = app.beat(phase)
+    return (await m.call(f"{ip}:{port}", "POST", f"/v1/endpoints/{app.id}/heartbeat", body))[0]
+
+
+async def departure(m: Mesh, app: App, ip: str, port: int) -> int:
+    return (await m.call(f"{ip}:{port}", "POST", f"/v1/endpoints/{app.id}/departure"))[0]
+
+
+def held(m: Mesh, app: App) -> Record | None:
+    return m.control.node.gossip.records.get(2, app.id)
+
+
+class Acknowledged(unittest.TestCase):
+    """An acknowledgement stands on the receipts of others, or is not given."""
+
+    @params("draining", "departure")
+    def test_what_nobody_else_knows_is_not_acknowledged_at_the_second_time_either(self, call: str) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "one", "two"]) as m:
+                await m.serve()
+                app, port = m.apps[0], m.port + 2
+
+                async def say() -> int:
+                    if call == "departure":
+                        return await departure(m, app, m.core, port)
+                    return await beat(m, app, call, m.core, port)
+
+                with cut_off(m.control.node):
+                    self.assertEqual([await say(), await say()], [503, 503])
+                self.assertEqual(await say(), 200)
+                self.assertFalse(m.sidecars[0].keeper.open)
+
+        run(test)
+
+    @params("draining", "departure")
+    def test_at_its_own_sidecar(self, call: str) -> None:
+        """Nothing more is sent to the endpoint from the first word on, acknowledged or not."""
+
+        async def test() -> None:
+            async with Mesh(["one", "one", "two"]) as m:
+                await m.serve()
+                app, port = m.apps[0], m.port + 4
+
+                async def say() -> int:
+                    if call == "departure":
+                        return await departure(m, app, m.ips[0], port)
+                    return await beat(m, app, call, m.ips[0], port)
+
+                with cut_off(m.sidecars[0].node):
+                    self.assertEqual([await say(), await say()], [503, 503])
+                    self.assertFalse(m.sidecars[0].keeper.open)
+                    for _ in range(5):
+                        self.assertEqual((await m.ask("/one/unsafe/x", "POST", 2))[0], 200)
+                    self.assertEqual(len(app.seen), 0)
+                self.assertEqual(await say(), 200)
+                record = held(m, app)
+                assert record is not None
+                self.assertGreaterEqual(record.rank, DRAINING)
+
+        run(test)
+
+    def test_a_sidecar_that_loses_power_right_after_it_acknowledged(self) -> None:
+        """The others know, and the one that starts in its place does not admit the endpoint again."""
+
+        async def test() -> None:
+            async with Mesh(["one", "one", "two"]) as m:
+                await m.serve()
+                app, old = m.apps[0], m.sidecars[0]
+                flush = old.node.gossip_socket.flush
+
+                def flush_to_the_core_alone() -> None:
+                    """The first news to others is lost; what is told again until it is received is not."""
+                    old.node.gossip.out = [(a, w) for a, w in old.node.gossip.out if w.receipt]
+                    flush()
+
+                with mock.patch.object(old.node.gossip_socket, "flush", flush_to_the_core_alone):
+                    self.assertEqual(await m.beat(0, "draining"), 200)
+                    old.node.gossip_socket.close()
+                    for server in old.servers:
+                        server.close()
+                    if old.node.server is not None:
+                        old.node.server.close()
+                    old.node.lines.close()
+                record = held(m, app)
+                assert record is not None
+                self.assertEqual(record.rank, DRAINING)
+                new = Sidecar(m.boot(m.ips[0], "forager", AppAddr=app.address, Target=app.service))
+                await new.start()
+                m.sidecars[0] = new
+                with mock.patch.object(new.keeper, "admit", side_effect=AssertionError("admitted")):
+                    await until(lambda: new.node.gossip.met and new.node.gossip.records.get(2, app.id) is not None)
+                self.assertFalse(new.keeper.open)
+
+        run(test)
+
+    def test_one_that_thinks_it_is_alone_acknowledges_nothing(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                m.control.endpoints.announcer.losses = 1
+                with cut_off(m.control.node), mock.patch.object(m.control.node.gossip, "peers", list):
+                    self.assertEqual(await beat(m, m.apps[0], "draining", m.core, m.port + 2), 503)
+
+        run(test)
+
+    @params(
+        ("alone", Audience(frozenset(), 1, "", frozenset()), "", 9.0, False),
+        ("too few of the core", Audience(frozenset("abc"), 2, "k", frozenset("k")), "ak", 9.0, False),
+        ("core and keeper", Audience(frozenset("abc"), 2, "k", frozenset("kl")), "abk", 0.0, True),
+        ("the keeper is waited for", Audience(frozenset("abc"), 2, "k", frozenset("kl")), "abl", 0.0, False),
+        ("for so long", Audience(frozenset("abc"), 2, "k", frozenset("kl")), "abl", KEEPER_FOR, True),
+        ("then another does", Audience(frozenset("abc"), 2, "k", frozenset("kl")), "ab", 9.0, False),
+        ("a dead keeper is not", Audience(frozenset("abc"), 2, "k", frozenset("lm")), "abm", 0.0, True),
+        ("sidecars are no core", Audience(frozenset("abc"), 2, "k", frozenset("klm")), "aklm", 9.0, False),
+        ("nothing may be lost", Audience(frozenset(), 0, "", frozenset()), "", 0.0, True),
+    )
+    def test_who_has_to_know(self, name: str, audience: Audience, received: str, waited: float, want: bool) -> None:
+        self.assertIs(audience.satisfied(received, waited), want, name)
+
+
+class Final(unittest.TestCase):
+    """What an endpoint said of its end is not undone."""
+
+    @params("sidecar", "core")
+    def test_a_ready_beat_with_a_higher_number_after_a_drain(self, at: str) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "one", "two"]) as m:
+                await m.serve()
+                app = m.apps[0]
+                self.assertEqual(await m.beat(0, "draining"), 200)
+                ip, port = (m.ips[0], m.port + 4) if at == "sidecar" else (m.core, m.port + 2)
+                self.assertEqual(await beat(m, app, "ready", ip, port), 200)
+                record = held(m, app)
+                assert record is not None
+                self.assertEqual(record.rank, DRAINING)
+                self.assertFalse(m.sidecars[0].keeper.open)
+
+        run(test)
+
+    def test_a_late_beat_after_it_fell_silent(self) -> None:
+        """Only one that it said after the last one that was heard shows that it lives."""
+
+        async def test() -> None:
+            async with Mesh(["one", "one", "two"]) as m:
+                await m.serve()
+                app, sidecar = m.apps[0], m.sidecars[0]
+                for _ in range(5):  # they change nothing, so that nobody else hears of them
+                    self.assertEqual(await m.beat(0), 200)
+                sidecar.end(app.id)
+                app.seq -= 2
+                self.assertEqual(await m.beat(0), 200)  # it was under way for long
+                self.assertFalse(sidecar.keeper.open)
+                app.seq += 1
+                self.assertEqual(await m.beat(0), 200)
+                self.assertTrue(sidecar.keeper.open)
+                await until(lambda: (r := held(m, app)) is not None and r.rank == READY)
+
+        run(test)
+
+    def test_a_drained_one_that_fell_silent_is_gone_for_good(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "one", "two"]) as m:
+                await m.serve()
+                app, sidecar = m.apps[0], m.sidecars[0]
+                self.assertEqual(await m.beat(0, "draining"), 200)
+                sidecar.end(app.id)
+                self.assertEqual(await m.beat(0), 200)
+                self.assertFalse(sidecar.keeper.open)
+                self.assertEqual(await m.beat(0, "draining"), 200)
+                await until(lambda: (r := held(m, app)) is not None and r.rank == GONE and r.seq == LAST)
+
+        run(test)
+
+    @params(
+        ("a drain", None, (5, DRAINING), (5, DRAINING, 0)),
+        ("a late drain is one", endpoint(seq=9, life=2), (5, DRAINING), (9, DRAINING, 2)),
+        ("told again", endpoint(seq=5, rank=DRAINING), (7, DRAINING), (5, DRAINING, 0)),
+        ("after its departure", endpoint(seq=LAST, rank=GONE), (7, DRAINING), (LAST, GONE, 0)),
+        ("a departure", endpoint(seq=5, rank=DRAINING, life=1), (LAST, GONE), (LAST, GONE, 1)),
+        ("taken for gone", endpoint(seq=5, rank=GONE), (7, DRAINING), (LAST, GONE, 0)),
+    )
+    def test_announcements(
+        self, name: str, known: Record | None, said: tuple[int, int], want: tuple[int, int, int]
+    ) -> None:
+        made = announcement(known, endpoint(seq=said[0], rank=said[1]))
+        self.assertEqual((made.seq, made.rank, made.life), want, name)
+
+    @params(
+        ("nothing is known", None, 1, True),
+        ("known", endpoint(seq=1), 2, False),
+        ("late", endpoint(seq=3), 2, False),
+        ("it drains", endpoint(seq=3, rank=DRAINING), 9, False),
+        ("it has left", endpoint(seq=LAST, rank=GONE), 9, False),
+        ("it was taken for gone", endpoint(seq=3, rank=GONE), 4, True),
+        ("it was taken for gone later", endpoint(seq=3, rank=GONE), 3, False),
+    )
+    def test_ready_beats(self, name: str, known: Record | None, seq: int, want: bool) -> None:
+        self.assertIs(changes(known, endpoint(seq=seq)), want, name)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/mesh/test_gossip.py
+++ b/tests/mesh/test_gossip.py
@@ -4,8 +4,10 @@
 
 import random
 import unittest
+from unittest import mock
 
 from mesh.cases import params
+from zinclever.mesh.membership import gossip
 from zinclever.mesh.membership.gossip import Gossip, Standing
 from zinclever.mesh.membership.records import FADES, FORGOTTEN, NODE, Records
 from zinclever.mesh.model.field import Field, endpoint
@@ -284,6 +286,26 @@
         f.run(0.5)
         self.assertEqual(f.gossips["b0"].receipts[number].received, {"b1", "b2"})
 
+    def test_no_receipt_for_news_that_something_else_stands_above(self) -> None:
+        """It changes nothing there; the teller hears of what does."""
+        f = met(4)
+        f.cut = {("b2", n) for n in f.names}
+        f.tell("b2", endpoint(seq=1, life=1))
+        f.cut.clear()
+        number = f.gossips["b0"].tell_surely(f.now, endpoint(seq=3, rank=1), ["b1", "b2"])
+        f.flush("b0")
+        f.run(0.1)
+        self.assertEqual(f.gossips["b0"].receipts[number].received, {"b1"})
+        self.assertEqual(f.gossips["b0"].records.held[(2, "e1")].life, 1)
+
+    def test_no_receipt_for_news_that_there_is_no_room_for(self) -> None:
+        f = met(3)
+        with mock.patch.object(gossip, "MOST_RECORDS", 3):
+            number = f.gossips["b0"].tell_surely(f.now, endpoint(rank=1), ["b1", "b2"])
+            f.flush("b0")
+            f.run(0.5)
+        self.assertEqual(f.gossips["b0"].receipts[number].received, set())
+
     def test_a_drain_holds_though_its_teller_loses_power_at_once(self) -> None:
         """Acknowledged once two others have it: everybody knows of it within the bound."""
         f = met(30, loss=0.05)
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -403,7 +403,7 @@
                 body = app.beat()
                 record = m.control.node.gossip.records
                 record.held.pop((2, app.id))
-                m.control.keeper_of = lambda address: ""  # type: ignore[method-assign]
+                m.control.endpoints.keeper_of = lambda address: ""  # type: ignore[method-assign]
                 await m.call(f"{m.core}:{m.port + 2}", "POST", f"/v1/endpoints/{app.id}/heartbeat", body)
                 self.assertEqual(await m.beat(0), 200)
                 await until(
--- a/zinclever/mesh/membership/gossip.py
+++ b/zinclever/mesh/membership/gossip.py
@@ -329,7 +329,7 @@
         if self.records.get(NODE, name) is not None:  # whoever else writes is not remembered
             self.heard[name] = now
         if w.receipt:
-            self.send(name, GossipMessage(received=w.receipt))
+            self.confirm(name, w)
         if w.received and w.received in self.receipts:
             self.receipts[w.received].received.add(name)
         if w.ping:
@@ -362,6 +362,21 @@
             self.met = True
             self.pass_on(now)
 
+    def confirm(self, name: str, w: GossipMessage) -> None:
+        """A receipt for news that is held here, or that an end known here has overtaken. Where something else stands
+        above it the teller is told of that instead: its news has changed nothing here."""
+        above: list[Record] = []
+        for r in w.news:
+            held = self.records.held.get(key(r))
+            if held is None:
+                return
+            if held.rank < r.rank:
+                above.append(held)
+        if above:
+            self.send_news(name, above)
+        else:
+            self.send(name, GossipMessage(received=w.receipt))
+
     def take(self, now: float, r: Record, teller: str) -> bool:
         """A record from another; whether it is new here."""
         k = key(r)
--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -11,7 +11,6 @@
 
 import orjson
 
-from ...core.protocol import read_address
 from ...http1.heads import Answer
 from ..configuration.document import read
 from ..consensus.messages import Action, Commit, Persist, ReplicaRole, Reply, Send
@@ -25,7 +24,8 @@
 from ..transport.links import Link
 from ..transport.mesh_pb2 import ControlCall, ControlReply, EndpointInfo, Frame, NodeInfo, Record, Voter
 from .boot import Boot
-from .endpoint_calls import GONE, LAST, READY, read_beat
+from .endpoint_api import Announcer, CoreEndpointApi
+from .endpoint_calls import GONE
 from .node import CONTROL, SIDECAR, Node
 
 log = logging.getLogger(__name__)
@@ -34,7 +34,6 @@
 HANDED_ON = 3.0  # s for which a call that was handed on to the leader is waited for
 EXPLAINED = 0.7  # s in which a sidecar says whether it remembers a request
 FINDS = 1.5  # s for which a call waits for leader
-KNOWN_FOR = 0.8  # s in which news that was acknowledged has to be known to others
 LARGE = 64 * 1024  # bytes of a configuration from which on it is checked in a thread
 BACKLOG = 1024
 
@@ -56,6 +55,7 @@
             self.me, founders, boot.bootstrap, boot.losses, self.loop.time(), self.store.vote, self.store.change
         )
         self.known_role = self.replica.role
+        self.endpoints = CoreEndpointApi(self.node, Announcer(self.node, boot.losses))
         self.calls: dict[int, asyncio.Future[tuple[int, bytes]]] = {}
         self.number = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -75,8 +75,8 @@
             tree.add(f"GET {prefix}/endpoints", self.on_endpoints)
             tree.add(f"GET {prefix}/view", self.on_view)
             tree.add(f"GET {prefix}/requests/{{id}}", self.on_explain)
-        tree.add("POST /v1/endpoints/{id}/heartbeat", self.on_beat)
-        tree.add("POST /v1/endpoints/{id}/departure", self.on_departure)
+        tree.add("POST /v1/endpoints/{id}/heartbeat", self.endpoints.on_beat)
+        tree.add("POST /v1/endpoints/{id}/departure", self.endpoints.on_departure)
         self.control_api = ControlApi(self.node.descriptors, self.node.host, tree)
         await self.node.start()
         if "ControlPlane" in self.boot.bind:
@@ -336,64 +336,3 @@
             wrong = MeshError("REQUEST_UNKNOWN", f"none of {len(seats)} sidecars remembers it; {silent} didn't answer")
             return refuse(404, wrong)
         return say(200, {"Requests": found, "Silent": silent})
-
-    # --- calls of endpoints ---
-
-    async def on_beat(self, call: Call) -> Answer:
-        """A beat whose own sidecar didn't answer."""
-        record = read_beat(call)
-        known = self.node.gossip.records.get(ENDPOINT, call.captured[0])
-        endpoint_info = EndpointInfo.FromString(record.body)
-        if known is not None:
-            if known.seq >= record.seq or known.seq >= LAST:
-                return say(200, {})
-            record.life = known.life + (1 if known.rank >= GONE else 0)
-            endpoint_info.keeper = EndpointInfo.FromString(known.body).keeper
-        endpoint_info.keeper = endpoint_info.keeper or self.keeper_of(endpoint_info.address)
-        record.body = endpoint_info.SerializeToString()
-        if (
-            known is not None
-            and known.rank == record.rank
-            and endpoint_info.keeper == EndpointInfo.FromString(known.body).keeper
-        ):
-            return say(200, {})
-        if record.rank == READY:
-            self.node.tell(record)
-            return say(200, {})
-        return await self.tell_surely(record)
-
-    def keeper_of(self, address: str) -> str:
-        """The sidecar on an endpoint's machine."""
-        ip, _ = read_address(address)
-        for r in self.node.gossip.records.all(NODE):
-            info = NodeInfo.FromString(r.body)
-            if info.ip == ip and info.role == SIDECAR and r.rank < 2:
-                return r.id
-        return ""
-
-    async def on_departure(self, call: Call) -> Answer:
-        known = self.node.gossip.records.get(ENDPOINT, call.captured[0])
-        life, body = (known.life, known.body) if known is not None else (0, b"")
-        return await self.tell_surely(
-            Record(kind=ENDPOINT, id=call.captured[0], life=life, seq=LAST, rank=GONE, body=body)
-        )
-
-    async def tell_surely(self, record: Record) -> Answer:
-        """An acknowledgement that holds wherever this process ends up: two others have the news, the keeper where it
-        can be reached."""
-        gossip = self.node.gossip
-        to = [p for p in gossip.peers() if (b := gossip.node_info(p)) is not None and b.role == CONTROL]
-        keeper = EndpointInfo.FromString(record.body).keeper
-        to += [keeper] if keeper in gossip.peers() else []
-        number = gossip.tell_surely(self.loop.time(), record, to)
-        self.node.gossip_socket.flush()
-        until = self.loop.time() + KNOWN_FOR
-        receipt = gossip.receipts[number]
-        try:
-            while self.loop.time() < until:
-                if not receipt.owed or len(receipt.received) >= min(len(receipt.owed), 2):
-                    return say(200, {})
-                await asyncio.sleep(0.005)
-            return say(200 if receipt.received else 503, {})
-        finally:
-            gossip.receipts.pop(number, None)
--- /dev/null
+++ b/zinclever/mesh/roles/endpoint_api.py
@@ -0,0 +1,129 @@
+"""The calls of endpoints as the roles answer them: beats, drains and departures."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from ...core.protocol import read_address
+from ...http1.heads import Answer
+from ..control_api.desk import Call, refuse, say
+from ..errors import MeshError
+from ..membership.acknowledgement import Audience
+from ..membership.records import ENDPOINT, NODE
+from ..transport.mesh_pb2 import EndpointInfo, NodeInfo, Record
+from .endpoint_calls import READY, announcement, changes, departure, read_beat, with_keeper
+from .node import CONTROL, SIDECAR, Node
+
+log = logging.getLogger(__name__)
+
+ACKNOWLEDGED_WITHIN = 0.8  # s in which enough others have to know: the caller waits for a second
+LOOK_EACH = 0.005  # s between two looks at the receipts
+SIDECARS_TOLD = 3  # besides the keeper: they know, should the whole core stop at once
+MOST_ANNOUNCED = 256  # announcements under way at once
+MOST_CONFIRMED = 4096  # endpoints whose last acknowledgement is remembered
+
+
+class Announcer:
+    """Tells others of drains and departures, and says when they may be acknowledged."""
+
+    def __init__(self, node: Node, losses: int) -> None:
+        """``losses``: members of the core that may be lost at once."""
+        self.node, self.losses = node, losses
+        self.under_way = 0
+        self.confirmed: dict[str, int] = {}
+        """By endpoint, the rank that enough others have said to know; the oldest first."""
+
+    def audience(self, record: Record) -> Audience:
+        """Who is told of a record."""
+        gossip = self.node.gossip
+        roles = {p: info.role for p in gossip.peers() if (info := gossip.node_info(p)) is not None}
+        core = frozenset(p for p, role in roles.items() if role == CONTROL)
+        sidecars = sorted(p for p, role in roles.items() if role == SIDECAR)
+        keeper = EndpointInfo.FromString(record.body).keeper
+        told = set(gossip.rng.sample(sidecars, min(SIDECARS_TOLD, len(sidecars))))
+        if keeper in roles:
+            told.add(keeper)
+        own_copy = self.node.role == CONTROL
+        needed = self.losses if own_copy else self.losses + 1
+        if keeper == self.node.name:
+            return Audience(core, needed, "", frozenset())  # the keeper itself knows
+        return Audience(core, needed, keeper, frozenset(told))
+
+    async def acknowledge(self, record: Record) -> Answer:
+        """200 once enough others know that an endpoint drains or is gone; else 503, and the caller goes on to
+        another process. What was confirmed before is confirmed at once."""
+        if self.confirmed.get(record.id, READY) >= record.rank:
+            return say(200)
+        if self.under_way >= MOST_ANNOUNCED:
+            return refuse(503, MeshError("ENDPOINT_BUSY", "too many announcements are under way"))
+        self.under_way += 1
+        try:
+            known = await self.announce(record)
+        finally:
+            self.under_way -= 1
+        if not known:
+            log.warning(
+                "an endpoint's end is not acknowledged: too few others know",
+                extra={"code": "ENDPOINT_UNACKNOWLEDGED", "endpoint": record.id},
+            )
+            return refuse(503, MeshError("ENDPOINT_UNACKNOWLEDGED", "too few others have said that they know"))
+        while len(self.confirmed) >= MOST_CONFIRMED:
+            del self.confirmed[next(iter(self.confirmed))]
+        self.confirmed[record.id] = record.rank
+        return say(200)
+
+    async def announce(self, record: Record) -> bool:
+        """Whether enough others have said in time that they know."""
+        loop, gossip = self.node.loop, self.node.gossip
+        audience = self.audience(record)
+        began = loop.time()
+        number = gossip.tell_surely(began, record, audience.names())
+        self.node.gossip_socket.flush()
+        try:
+            while (waited := loop.time() - began) < ACKNOWLEDGED_WITHIN:
+                held = gossip.records.get(ENDPOINT, record.id)
+                if held is not None and held.rank < record.rank:
+                    # Another knew a record that stands above this one: the end is told on top of that.
+                    record = announcement(held, record)
+                    gossip.receipts.pop(number, None)
+                    number = gossip.tell_surely(loop.time(), record, audience.names())
+                    self.node.gossip_socket.flush()
+                if audience.satisfied(gossip.receipts[number].received, waited):
+                    return True
+                await asyncio.sleep(LOOK_EACH)
+            return False
+        finally:
+            gossip.receipts.pop(number, None)
+
+
+class CoreEndpointApi:
+    """Beats and departures at a member of the core: their own sidecar didn't answer."""
+
+    def __init__(self, node: Node, announcer: Announcer) -> None:
+        self.node, self.announcer = node, announcer
+
+    async def on_beat(self, call: Call) -> Answer:
+        record = read_beat(call)
+        known = self.node.gossip.records.get(ENDPOINT, record.id)
+        info = EndpointInfo.FromString(record.body)
+        known_keeper = EndpointInfo.FromString(known.body).keeper if known is not None else ""
+        with_keeper(record, known_keeper or self.keeper_of(info.address))
+        if record.rank != READY:
+            return await self.announcer.acknowledge(announcement(known, record))
+        if changes(known, record):
+            self.node.tell(record)
+        return say(200)
+
+    async def on_departure(self, call: Call) -> Answer:
+        known = self.node.gossip.records.get(ENDPOINT, call.captured[0])
+        return await self.announcer.acknowledge(announcement(known, departure(call.captured[0])))
+
+    def keeper_of(self, address: str) -> str:
+        """The sidecar on an endpoint's machine."""
+        ip, _ = read_address(address)
+        for r in self.node.gossip.records.all(NODE):
+            info = NodeInfo.FromString(r.body)
+            if info.ip == ip and info.role == SIDECAR and r.rank < 2:
+                return r.id
+        return ""
--- a/zinclever/mesh/roles/endpoint_calls.py
+++ b/zinclever/mesh/roles/endpoint_calls.py
@@ -1,4 +1,4 @@
-"""Calls of endpoints: beats and departures, as they are read by whichever process is asked."""
+"""Beats and departures of endpoints as records, and what a record changes. Pure, but for the time of day in a beat."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 )
 
 
-def read_beat(call: Call, life: int = 0) -> Record:
+def read_beat(call: Call) -> Record:
     """A beat as a record, but for the keeper; MeshError where it is none."""
     told = call.json()
     try:
@@ -54,8 +54,57 @@
     return Record(
         kind=ENDPOINT,
         id=call.captured[0],
-        life=life,
         seq=seen["CallSeq"],
         rank=rank,
         body=endpoint_info.SerializeToString(),
     )
+
+
+def departure(endpoint: str) -> Record:
+    """The record of an endpoint that says that it has gone."""
+    return Record(kind=ENDPOINT, id=endpoint, seq=LAST, rank=GONE)
+
+
+def with_keeper(record: Record, keeper: str) -> None:
+    """Name the sidecar beside the endpoint in its record."""
+    info = EndpointInfo.FromString(record.body)
+    info.keeper = keeper
+    record.body = info.SerializeToString()
+
+
+def keeper_of(record: Record) -> str:
+    """The sidecar beside the endpoint, as its record names it."""
+    return EndpointInfo.FromString(record.body).keeper
+
+
+def is_final(known: Record) -> bool:
+    """Whether the endpoint has said that it leaves: nothing that it says later makes it ready again."""
+    return known.rank == DRAINING or known.seq >= LAST
+
+
+def changes(known: Record | None, ready: Record) -> bool:
+    """Whether a beat of a ready endpoint is news; its record is given the life of what is known."""
+    if known is None:
+        return True
+    ready.life = known.life
+    if is_final(known) or known.seq >= ready.seq:
+        return False  # it leaves, or the beat is a late one
+    return known.rank != READY or keeper_of(known) != keeper_of(ready)
+
+
+def announcement(known: Record | None, ending: Record) -> Record:
+    """The record by which a drain or a departure is told: one that stands above what is known. An endpoint that was
+    taken for gone and says that it drains is gone for good."""
+    if known is None:
+        return ending
+    if known.seq >= LAST or known.rank == ending.rank == DRAINING:
+        return known
+    taken_for_gone = known.rank >= GONE
+    return Record(
+        kind=ENDPOINT,
+        id=ending.id,
+        life=known.life,
+        seq=LAST if taken_for_gone else max(ending.seq, known.seq),
+        rank=GONE if taken_for_gone else ending.rank,
+        body=ending.body or known.body,
+    )
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable
 from functools import partial
 
 import orjson
@@ -35,7 +36,19 @@
 )
 from ..verdict import Verdict
 from .boot import Boot
-from .endpoint_calls import DRAINING, GONE, LAST, READY, read_beat
+from .endpoint_api import Announcer
+from .endpoint_calls import (
+    DRAINING,
+    GONE,
+    LAST,
+    READY,
+    announcement,
+    changes,
+    departure,
+    is_final,
+    read_beat,
+    with_keeper,
+)
 from .node import SIDECAR, Node
 
 log = logging.getLogger(__name__)
@@ -79,7 +92,9 @@
         self.servers: list[asyncio.Server] = []
         self.incoming: dict[tuple[Link, int], Incoming] = {}
         self.beat_at = -1e9  # when the endpoint was last heard
-        self.life = 0
+        self.beat_seq = 0
+        """Of its beats that came here, the highest number."""
+        self.announcer = Announcer(self.node, boot.losses)
         self.ending = False
         self.told_ready = False
         self.stale: set[str] = set()
@@ -153,27 +168,31 @@
 
     # --- the endpoint beside this sidecar ---
 
-    def on_beat(self, call: Call) -> Answer:
-        record = read_beat(call, self.life)
+    def on_beat(self, call: Call) -> Answer | Awaitable[Answer]:
+        record = read_beat(call)
         known = self.node.gossip.records.get(ENDPOINT, record.id)
-        if known is not None:
-            record.life = known.life
-            if known.rank >= GONE:
-                if known.seq >= LAST:
-                    return say(200, {})  # it has said that it leaves: a late beat changes nothing
-                record.life = known.life + 1  # it was taken for gone, and lives
-            elif known.seq > record.seq:
-                return say(200, {})  # a late one
-        endpoint_info = EndpointInfo.FromString(record.body)
-        endpoint_info.keeper = self.node.name
-        record.body = endpoint_info.SerializeToString()
-        self.beat_at = self.loop.time()
-        # ControlReply to the core by an endpoint that came up first, it may have been told without a keeper.
-        elsewhere = known is not None and EndpointInfo.FromString(known.body).keeper != self.node.name
-        if known is None or elsewhere or known.rank != record.rank or known.life != record.life:
+        with_keeper(record, self.node.name)
+        if record.rank != READY:
+            record = announcement(known, record)
+            self.hear_beat(record)
+            return self.announcer.acknowledge(record)
+        if known is not None and (is_final(known) or known.seq > record.seq):
+            return say(200)  # it leaves, or the beat is a late one
+        if known is not None and known.rank >= GONE and max(known.seq, self.beat_seq) >= record.seq:
+            return say(200)  # said before it was taken for gone
+        if changes(known, record):
             self.node.tell(record)
-        self.adopt(record.id, record.rank, endpoint_info)
-        return say(200, {})
+        self.hear_beat(record)
+        return say(200)
+
+    def hear_beat(self, record: Record) -> None:
+        """An endpoint on this machine lives."""
+        if record.rank == READY and record.id != self.keeper.endpoint:
+            self.beat_seq = record.seq
+        self.adopt(record.id, record.rank, EndpointInfo.FromString(record.body))
+        if record.id == self.keeper.endpoint or self.beat_at < 0:
+            self.beat_at = self.loop.time()
+            self.beat_seq = max(self.beat_seq, record.seq)
 
     def adopt(self, endpoint: str, rank: int, endpoint_info: EndpointInfo) -> None:
         """What the keeper does by what is known of an endpoint here."""
@@ -191,19 +210,23 @@
                 log.info("endpoint drains", extra={"code": "ENDPOINT_DRAINS", "endpoint": endpoint})
             self.keeper.close()
 
-    def on_departure(self, call: Call) -> Answer:
-        self.end(call.captured[0], LAST)
-        return say(200, {})
+    async def on_departure(self, call: Call) -> Answer:
+        endpoint = call.captured[0]
+        if endpoint == self.keeper.endpoint:
+            self.keeper.forget()
+        known = self.node.gossip.records.get(ENDPOINT, endpoint)
+        return await self.announcer.acknowledge(announcement(known, departure(endpoint)))
 
-    def end(self, endpoint: str, seq: int = 0) -> None:
-        """An endpoint is gone."""
+    def end(self, endpoint: str) -> None:
+        """An endpoint is taken for gone: a beat that it says after its last one shows that it lives, unless it has
+        said before that it leaves."""
         known = self.node.gossip.records.get(ENDPOINT, endpoint)
+        heard = self.beat_seq if endpoint == self.keeper.endpoint else 0
         if endpoint == self.keeper.endpoint:
             self.keeper.forget()
-        if (known is not None and known.rank < GONE) or seq:
-            life, body = (known.life, known.body) if known is not None else (0, b"")
-            seq = max(seq, known.seq if known is not None else 0)
-            self.node.tell(Record(kind=ENDPOINT, id=endpoint, life=life, seq=seq, rank=GONE, body=body))
+        if known is not None and known.rank < GONE:
+            seq = LAST if is_final(known) else max(known.seq, heard)
+            self.node.tell(Record(kind=ENDPOINT, id=endpoint, life=known.life, seq=seq, rank=GONE, body=known.body))
 
     def count(self) -> None:
         """A line of counters now and then: they say more than a line for each thing that happens."""
@@ -330,7 +353,7 @@
                 self.stale.add(endpoint_info.service)
             if endpoint_info.keeper == self.node.name and record.id != self.keeper.endpoint and record.rank == READY:
                 if not self.keeper.endpoint and self.beat_at < 0:  # told by others after a start of this process
-                    self.beat_at = self.loop.time()
+                    self.beat_at, self.beat_seq = self.loop.time(), record.seq
                     self.adopt(record.id, record.rank, endpoint_info)
             elif record.id == self.keeper.endpoint and record.rank >= DRAINING:
                 self.keeper.close()
