Refusals and repeated changes wait for a majority, as reads do; lost confirmations are asked for again

Cause: a leader that stood still for 10 s while another was elected and acknowledged version 2 answered 412 to a change on top of version 2, out of what it had committed itself; one that was cut off both ways did so until it stepped down. A read's question was sent once. A change taken 300 changes ago was refused.

Change: consensus/leadership.py holds rounds of confirmations (Raft's ReadIndex). Every answer that states what is current waits for a round that began after the call came; voters that have not confirmed are asked again each 0.1 s. A call has an answer within 0.6 s at the leader and 0.8 s at another member (2.5 s for large configurations). Changes are judged again when the round is confirmed, and a leader answers none before it has committed an entry under its own term. A change that may be forgotten gets 503. The model pauses and resumes machines, loses answers to operators, and its histories hold 400s and several texts under one number.

Ruled out: a lease on the leader's clock, as a process that stands still does not notice; comparing committed.term with the leader's term to know that it has committed under it, as a committed entry keeps its term when it is proposed anew.

--- a/zinclever/mesh/consensus/client_calls.py
+++ b/zinclever/mesh/consensus/client_calls.py
@@ -1,97 +1,173 @@
-"""The calls of operators at the member that acts: which is next, which needs no entry, which stays unclear. Pure."""
+"""The calls of operators at the leader: which one is proposed next, which is answered without an entry. Pure.
+
+Every call gets exactly one answer, an HTTP status and a text. The statuses that state what is current, 200 of a read
+and 200, 400 and 412 of a change that is not proposed, wait for a round of confirmations that began after the call came
+(:mod:`.leadership`). A change that is proposed needs none: the voters that have its entry under the leader's term
+confirm the term as well, and the entry follows directly on the one that it was judged against. 503 states nothing: the
+change may be committed, now or later, and is sent again as it was.
+"""
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ..transport.mesh_pb2 import LogEntry
-from .messages import Proposal
-from .quorum import has_majority
+from .leadership import LeadershipConfirmations
+from .messages import Proposal, Read, Unconfirmed
+
+CALL_TIMEOUT = 0.6  # s in which a call has an answer: a caller gives up after 1 s of silence, on its way here included
+LARGE_CALL_TIMEOUT = 2.5  # s for the largest configurations, whose callers wait longer
+TRANSFER_RATE = 100_000.0  # bytes/s that the entry of a large configuration is expected to reach voters and disks with
+REMEMBERED = 256  # changes that were taken whose repetition is recognized
+
 
-CALL_FOR = 2.5  # s in which a call is committed, or has no clear answer
-REMEMBERED = 256  # entries by which a repeated call is known
+def call_timeout(size: int) -> float:
+    """s in which a call with a configuration of so many bytes has an answer."""
+    return min(LARGE_CALL_TIMEOUT, CALL_TIMEOUT + size / TRANSFER_RATE)
 
 
 class ClientCalls:
-    """Every call gets one answer, as an HTTP status and a text."""
+    """The calls that the leader has not answered yet."""
 
     def __init__(self, reply: Callable[[int, int, bytes], None]) -> None:
         self.reply = reply
+        self.confirmations = LeadershipConfirmations()
         self.waiting: deque[Proposal] = deque()
+        """Changes that wait for their turn to be proposed."""
         self.current: Proposal | None = None
-        """What is being proposed."""
-        self.round = 0
-        self.reads: dict[int, tuple[int, float, set[str]]] = {}
-        """By round: the call, when it came, who has confirmed."""
+        """The change that is being proposed."""
+        self.unconfirmed: list[Unconfirmed] = []
+        """Calls that are answered from what is committed, once the leader is confirmed."""
+
+    def read(self, now: float, call: int) -> None:
+        """A read of the configuration in force."""
+        self.await_confirmation(Read(call, now))
+
+    def change(self, call: Proposal, committed: LogEntry | None) -> None:
+        """A change; ``committed``: None while the leader doesn't know what is."""
+        if committed is not None and not may_be_proposed(call, committed):
+            self.settle(call, committed)
+        else:
+            self.waiting.append(call)
 
     def next(self, committed: LogEntry) -> Proposal | None:
-        """The next call that wants an entry; those before it that don't are answered."""
+        """The next change that wants an entry; those before it that don't go on to be answered."""
         while self.waiting:
             call = self.waiting.popleft()
-            status, text = judge(call, committed)
-            if not status:
+            if not judge(call, committed)[0]:
                 self.current = call
                 return call
-            self.reply(call.call, status, text)
+            self.settle(call, committed)
         return None
 
+    def settle(self, call: Proposal, committed: LogEntry) -> None:
+        """A change that is answered without an entry. 503 states nothing, and needs nobody's confirmation."""
+        status, text = judge(call, committed)
+        if status == 503:
+            self.reply(call.call, status, text)
+        else:
+            self.await_confirmation(call)
+
+    def await_confirmation(self, call: Proposal | Read) -> None:
+        self.unconfirmed.append(Unconfirmed(call, self.confirmations.begin()))
+
     def committed(self) -> None:
         """What was proposed is committed."""
         call, self.current = self.current, None
         if call is not None:
             self.reply(call.call, 200, b"")
 
-    def ask(self, now: float, call: int) -> int:
-        """A read that wants a majority: the number of its round."""
-        self.round += 1
-        self.reads[self.round] = (call, now, set())
-        return self.round
-
-    def confirmed(self, number: int, disk: str, committed: LogEntry) -> None:
-        """A member knows of no other that acts."""
-        if number not in self.reads:
-            return
-        call, _, who = self.reads[number]
-        who.add(disk)
-        if has_majority(committed.voters, who):
-            del self.reads[number]
-            if committed.generation:
-                self.reply(call, 200, committed.text)
+    def answer_confirmed(self, committed: LogEntry, own: Collection[str]) -> None:
+        """Answer the calls whose round a majority has confirmed, from what is committed by now."""
+        unconfirmed, self.unconfirmed = self.unconfirmed, []
+        for entry in unconfirmed:
+            if not self.confirmations.is_confirmed(entry.round, committed.voters, own):
+                self.unconfirmed.append(entry)
+            elif isinstance(entry.call, Read):
+                self.answer_read(entry.call, committed)
             else:
-                self.reply(call, 404, b"there is none yet")
+                self.answer_change(entry.call, committed)
+
+    def answer_read(self, call: Read, committed: LogEntry) -> None:
+        if committed.generation:
+            self.reply(call.call, 200, committed.text)
+        else:
+            self.reply(call.call, 404, b"there is none yet")
+
+    def answer_change(self, call: Proposal, committed: LogEntry) -> None:
+        """Judged anew: the version that it builds on may have been committed while the voters were asked."""
+        status, text = judge(call, committed)
+        if status:
+            self.reply(call.call, status, text)
+        else:
+            self.waiting.append(call)
+
+    def unconfirmed_round(self) -> int:
+        """The newest round that a call waits for; 0 where none does."""
+        return max((entry.round for entry in self.unconfirmed), default=0)
 
     def tick(self, now: float) -> None:
-        """Those whose time is up."""
-        for call in [c for c in self.waiting if now - c.at > CALL_FOR]:
+        """Those whose time is up get no clear answer."""
+        for call in [c for c in self.waiting if is_late(c, now)]:
             self.waiting.remove(call)
             self.reply(call.call, 503, b"not committed in time")
-        if self.current is not None and now - self.current.at > CALL_FOR:
+        if self.current is not None and is_late(self.current, now):
             self.reply(self.current.call, 503, b"not committed in time: it may be yet")
             self.current = None
-        for number, (asked, at, _) in list(self.reads.items()):
-            if now - at > CALL_FOR / 2:
-                del self.reads[number]
-                self.reply(asked, 503, b"no majority answers")
+        for entry in [e for e in self.unconfirmed if is_late(e.call, now)]:
+            self.unconfirmed.remove(entry)
+            self.reply(entry.call.call, 503, b"no majority confirms that this member leads")
 
     def drop(self) -> None:
-        """This member acts no more: calls have no clear answer here."""
-        for call in [*self.waiting, *([self.current] if self.current is not None else [])]:
-            self.reply(call.call, 503, b"does not act any more: it may be committed")
+        """This member leads no more: calls have no clear answer here."""
+        current = [self.current] if self.current is not None else []
+        for call in [*self.waiting, *current, *(entry.call for entry in self.unconfirmed)]:
+            self.reply(call.call, 503, b"leads no more: a change may be committed")
         self.waiting.clear()
+        self.unconfirmed.clear()
         self.current = None
-        for asked, _, _ in self.reads.values():
-            self.reply(asked, 503, b"does not act any more")
-        self.reads.clear()
+        self.confirmations.reset()
+
+
+def is_late(call: Proposal | Read, now: float) -> bool:
+    size = len(call.text) if isinstance(call, Proposal) else 0
+    return now - call.at > call_timeout(size)
 
 
 def judge(call: Proposal, committed: LogEntry) -> tuple[int, bytes]:
-    """A status where a call is answered without an entry; 0 where it is to be proposed."""
-    for taken in committed.applied:
-        if taken.digest == call.digest and taken.generation == call.generation and taken.base == call.base:
-            return 200, b""  # the same entry again
+    """A status where a change is answered without an entry; 0 where it is to be proposed."""
+    if was_taken(call, committed):
+        return 200, b""
+    if may_be_forgotten(call, committed):
+        return 503, b"it may have been taken: that many changes ago none is remembered"
     if call.base != committed.generation:
         return 412, b"another version is current: %d" % committed.generation
     if call.generation <= committed.generation:
         return 400, b"Generation is not above the current one, %d" % committed.generation
     return 0, b""
+
+
+def was_taken(call: Proposal, committed: LogEntry) -> bool:
+    """Whether this very change is among those remembered: same number, same version below, same text."""
+    return any(
+        taken.digest == call.digest and taken.generation == call.generation and taken.base == call.base
+        for taken in committed.applied
+    )
+
+
+def may_be_forgotten(call: Proposal, committed: LogEntry) -> bool:
+    """Whether a change that isn't remembered may have been taken all the same.
+
+    Each change that is taken builds on the version that the one before it made, so versions only rise: those taken
+    before the oldest that is remembered made versions up to the one that it builds on. A change with a higher number
+    is remembered, or was never taken; with a lower one nobody can tell, and a change that was taken is never refused.
+    """
+    oldest = committed.applied[0].base if committed.applied else committed.generation
+    return call.base < call.generation <= oldest
+
+
+def may_be_proposed(call: Proposal, committed: LogEntry) -> bool:
+    """Whether a change may be proposed now or after others that are under way. Versions only rise: one that builds on
+    a lower version than the committed one never will."""
+    return call.base > committed.generation or not judge(call, committed)[0]
--- /dev/null
+++ b/zinclever/mesh/consensus/leadership.py
@@ -0,0 +1,62 @@
+"""Confirmations by the voters that this member still leads, as Raft's ReadIndex has them. Pure.
+
+An answer that states what is current must not come from a leader that was replaced without noticing it: one that stood
+still, or that is cut off. So the leader asks the voters, after the call came, whether they have promised themselves to
+a higher term. Once a majority has said no, nobody else had been elected when the call came: whoever was elected since
+needs the vote of one of them, given after its confirmation. No clock has a part in it.
+
+Source: Consensus: Bridging Theory and Practice (Ongaro, 2014), section 6.4.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+
+from ..transport.mesh_pb2 import Voter
+from .quorum import has_majority
+
+CONFIRM_RESEND_INTERVAL = 0.1  # s after which a voter that has not confirmed is asked again
+
+
+class LeadershipConfirmations:
+    """Rounds of questions under one term. A confirmation of a round holds for the rounds before it, too, as it was
+    given later than they began."""
+
+    def __init__(self) -> None:
+        self.round = 0
+        """The newest round. It rises for as long as the process lives, so that no round has the number of an earlier
+        term's."""
+        self.asked_round = 0
+        self.asked_at = 0.0
+        """The newest round that the voters were asked to confirm, and when, in s."""
+        self.confirmed: dict[str, int] = {}
+        """By disk of a voter: the newest round that it has confirmed."""
+
+    def begin(self) -> int:
+        """Begin a round: its number."""
+        self.round += 1
+        return self.round
+
+    def is_due(self, wanted: int, now: float) -> bool:
+        """Whether the voters are to be asked for a round; 0 for none."""
+        return wanted > self.asked_round or (wanted > 0 and now - self.asked_at >= CONFIRM_RESEND_INTERVAL)
+
+    def asked(self, wanted: int, now: float) -> None:
+        self.asked_round, self.asked_at = wanted, now
+
+    def record(self, disk: str, confirmed_round: int) -> None:
+        """A voter has confirmed a round."""
+        if confirmed_round <= self.round:
+            self.confirmed[disk] = max(confirmed_round, self.confirmed.get(disk, 0))
+
+    def has_confirmed(self, disk: str, asked_round: int) -> bool:
+        return self.confirmed.get(disk, 0) >= asked_round
+
+    def is_confirmed(self, asked_round: int, voters: Sequence[Voter], own: Collection[str]) -> bool:
+        """Whether a majority has confirmed a round; ``own``: disks that need not be asked."""
+        confirmed = {disk for disk in self.confirmed if self.has_confirmed(disk, asked_round)}
+        return has_majority(voters, confirmed | set(own))
+
+    def reset(self) -> None:
+        """The term ends: what was confirmed under it says nothing about a later one."""
+        self.confirmed.clear()
--- a/zinclever/mesh/consensus/messages.py
+++ b/zinclever/mesh/consensus/messages.py
@@ -69,9 +69,26 @@
 
 
 class Proposal(NamedTuple):
+    """A change that an operator asks for: a checked configuration on top of version ``base``. ``at``: when the call
+    came, in s."""
+
     call: int
     at: float
     base: int
     generation: int
     text: bytes
     digest: bytes
+
+
+class Read(NamedTuple):
+    """An operator asks for the configuration in force. ``at``: when the call came, in s."""
+
+    call: int
+    at: float
+
+
+class Unconfirmed(NamedTuple):
+    """A call that is answered once a majority has confirmed this round, or a later one."""
+
+    call: Proposal | Read
+    round: int
--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -16,9 +16,9 @@
 
 from ..transport.mesh_pb2 import AppliedCall, ConsensusMessage, LogEntry, Voter
 from .client_calls import REMEMBERED
+from .leader_calls import LeaderCalls
 from .messages import Kind, Proposal, ReplicaRole, Reply, Send, Vote
 from .quorum import changes_voters, digest, disk_ids, has_commit_quorum, has_majority, next_voters
-from .replica_state import ReplicaState
 
 HEARTBEAT_INTERVAL = 0.1  # s between two words of a member to the others
 ELECTION_TIMEOUT = 0.7  # s without a word of the leader after which the next in order takes over ...
@@ -33,7 +33,7 @@
 CATCH_UP_AFTER = 0.3  # s for which a member lacks what is committed before it is sent whole
 
 
-class Replica(ReplicaState):
+class Replica(LeaderCalls):
     """One member. Feed it :meth:`tick`, :meth:`receive`, :meth:`persisted` and calls; carry out what is left in
     ``out``."""
 
@@ -56,6 +56,8 @@
                 self.request_votes(now)
         else:
             self.lead(now)
+        self.ask_for_confirmation(now)
+        self.answer_confirmed()
         self.calls.tick(now)
 
     def heartbeat(self) -> ConsensusMessage:
@@ -216,15 +218,9 @@
         elif m.kind == Kind.APPEND_REPLY:
             self.on_append_reply(now, m)
         elif m.kind == Kind.CONFIRM_LEADERSHIP:
-            granted = m.term >= self.vote.term and self.role is not ReplicaRole.CANDIDATE
-            self.answer(
-                m,
-                ConsensusMessage(
-                    kind=Kind.LEADERSHIP_CONFIRMED, disk=self.me.disk, term=m.term, round=m.round, granted=granted
-                ),
-            )
+            self.on_confirm_leadership(m)
         elif m.kind == Kind.LEADERSHIP_CONFIRMED:
-            self.on_confirmed(m)
+            self.on_leadership_confirmed(m)
         elif m.kind == Kind.HAND_OVER and m.disk == self.leader and m.term >= self.vote.term:
             self.heard_at.pop(m.disk, None)  # it is passed over ...
             self.leader_heard_at = now - ELECTION_TIMEOUT  # ... and the next one needn't wait for its silence
@@ -383,7 +379,9 @@
         if all(has_commit_quorum(v, self.have, losses) for v in views):
             self.proposed = None
             self.commit(now, entry)
+            self.established_term = self.term
             self.calls.committed()
+            self.answer_confirmed()
             self.heartbeat_at = -1e9  # the others receive of it at once
             if self.role is ReplicaRole.LEADER:
                 self.tick(now)
@@ -407,13 +405,17 @@
     def put(self, now: float, call: int, base: int, generation: int, text: bytes, digest: bytes) -> None:
         """A checked configuration of an operator, on top of version ``base``."""
         if self.role is not ReplicaRole.LEADER:
-            self.out.append(Reply(call, 503, b"does not act"))
+            self.out.append(Reply(call, 503, b"does not lead"))
             return
-        self.calls.waiting.append(Proposal(call, now, base, generation, text, digest))
+        committed = self.committed if self.is_established() else None
+        self.calls.change(Proposal(call, now, base, generation, text, digest), committed)
         if self.proposed is None:
             self.start_call(now)
+        self.ask_for_confirmation(now)
+        self.answer_confirmed()
 
     def start_call(self, now: float) -> None:
+        """Propose the next change that wants an entry."""
         call = self.calls.next(self.committed)
         if call is not None:
             made = self.next_entry(list(self.committed.voters))
@@ -421,27 +423,3 @@
             made.applied.append(AppliedCall(generation=call.generation, base=call.base, digest=call.digest))
             del made.applied[:-REMEMBERED]
             self.propose(now, made)
-
-    def get(self, now: float, call: int) -> None:
-        """The newest configuration, once a majority confirms that no other acts."""
-        # What was found_cluster at the take-over may have been acknowledged by another, and isn't committed here yet.
-        if self.role is not ReplicaRole.LEADER or (self.proposed is not None and self.calls.current is None):
-            self.out.append(Reply(call, 503, b"does not act"))
-            return
-        asked = self.calls.ask(now, call)
-        for voter in self.others():
-            self.send(
-                voter,
-                ConsensusMessage(
-                    kind=Kind.CONFIRM_LEADERSHIP, disk=self.me.disk, term=self.term, round=asked, voter=self.me
-                ),
-            )
-        self.on_confirmed(
-            ConsensusMessage(
-                kind=Kind.LEADERSHIP_CONFIRMED, disk=self.me.disk, round=asked, term=self.term, granted=True
-            )
-        )
-
-    def on_confirmed(self, m: ConsensusMessage) -> None:
-        if m.term == self.term and m.granted:
-            self.calls.confirmed(m.round, m.disk, self.committed)
--- a/zinclever/mesh/consensus/replica_state.py
+++ b/zinclever/mesh/consensus/replica_state.py
@@ -43,6 +43,7 @@
         self.heartbeat_at = -1e9
         self.role_since = now
         self.term = 0  # of the duty that this member has or courts for
+        self.established_term = 0  # the newest under which this member, as leader, has committed an entry
         self.votes: dict[str, ConsensusMessage] = {}
         self.proposed: LogEntry | None = None
         self.proposed_at = 0.0
--- a/zinclever/mesh/model/explore.py
+++ b/zinclever/mesh/model/explore.py
@@ -94,7 +94,7 @@
             o.heard_at = {s.disk: 10.0 for s in voters if s.disk != o.me.disk}
             o.leader, o.leader_heard_at = "d0", 10.0
         o = orders[0]
-        o.term = 1
+        o.term = o.established_term = 1
         o.become(type(o.role).LEADER, 10.0)
         o.put(10.0, 1, 0, 1, b"one", b"one")
         o.put(10.0, 2, 0, 2, b"two", b"two")
--- a/zinclever/mesh/model/histories.py
+++ b/zinclever/mesh/model/histories.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 MOST_TRIED = 2_000_000  # states looked at before a history is given up
 
@@ -21,12 +22,14 @@
 
     DONE = "200"
     STALE = "412: another version is current"
+    NOT_ABOVE = "400: the number is not above the current one"
     UNCLEAR = "no clear answer"
 
 
 @dataclass(slots=True)
 class Call:
-    """``generation``: of a change, the version that it makes; of a read, the one it was told. Instants in s."""
+    """``generation``: of a change, the version that it makes; of a read, the one it was told. ``variant``: which of
+    several texts under that number. Instants in s."""
 
     began: float
     ended: float
@@ -34,14 +37,33 @@
     generation: int
     base: int = 0
     told: Told = Told.UNCLEAR
+    variant: int = 0
 
 
 class Undecided(Exception):
     """The history is too long to be judged."""
 
 
-State = tuple[int, int, frozenset[int]]
-"""Which calls have had their turn (bits), the version in force, all versions that were taken."""
+class Version(NamedTuple):
+    """A configuration in force."""
+
+    generation: int
+    variant: int = 0
+
+
+class Change(NamedTuple):
+    """What makes two calls the same change."""
+
+    base: int
+    version: Version
+
+
+class State(NamedTuple):
+    """Which calls have had their turn (bits), the version in force, all changes that were taken."""
+
+    done: int
+    version: Version
+    taken: frozenset[Change]
 
 
 def linearizable(history: Sequence[Call], first: int = 0) -> bool:
@@ -51,10 +73,10 @@
     ends = [math.inf if c.told is Told.UNCLEAR else c.ended for c in calls]
     owed = sum(1 << n for n, c in enumerate(calls) if c.told is not Told.UNCLEAR)
     tried: set[State] = set()
-    stack: list[State] = [(0, first, frozenset([first]))]
+    stack = [State(0, Version(first), frozenset())]
     while stack:
         state = stack.pop()
-        done, version, taken = state
+        done = state.done
         if done & owed == owed:
             return True
         if state in tried:
@@ -66,22 +88,26 @@
         before = min(ends[n] for n in left)
         for n in left:
             if calls[n].began <= before:
-                follows = after(calls[n], version, taken)
+                follows = after(calls[n], state)
                 if follows is not None:
-                    stack.append((done | 1 << n, *follows))
+                    stack.append(follows._replace(done=done | 1 << n))
     return False
 
 
-def after(call: Call, version: int, taken: frozenset[int]) -> tuple[int, frozenset[int]] | None:
+def after(call: Call, state: State) -> State | None:
     """What is in force after a call takes effect, and what was taken; None where it can't have been told what it
     was."""
+    version = Version(call.generation, call.variant)
     if call.kind == "get":
-        return (version, taken) if call.generation == version else None
-    again = call.generation in taken
-    takes = version == call.base and not again
+        return state if version == state.version else None
+    change = Change(call.base, version)
+    current = state.version.generation
+    if change in state.taken:  # the same change again is told the same, or nothing that is clear
+        return state if call.told is Told.DONE else None
     if call.told is Told.STALE:
-        return (version, taken) if version != call.base and not again else None
-    if takes:
-        return call.generation, taken | {call.generation}
-    # The same change again is told the same; one without a clear answer that changes nothing need have no turn.
-    return (version, taken) if again and call.told is Told.DONE else None
+        return state if call.base != current else None
+    if call.told is Told.NOT_ABOVE:
+        return state if call.base == current and call.generation <= current else None
+    if call.base != current or call.generation <= current:
+        return None  # without a clear answer it need have no turn
+    return state._replace(version=version, taken=state.taken | {change})
--- a/zinclever/mesh/model/members.py
+++ b/zinclever/mesh/model/members.py
@@ -5,7 +5,9 @@
 
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ..consensus.messages import Commit, Persist, Reply, Send, Vote
 from ..consensus.replica import Replica
@@ -31,6 +33,16 @@
     persisting: list[Persist] = field(default_factory=list)
     """Asked for and not synced yet, in order."""
     terms: int = 0
+    paused: bool = False
+    inbox: list[Arrival] = field(default_factory=list)
+    """What has come while it stood still, and is read bit by bit once it runs again."""
+
+
+class Arrival(NamedTuple):
+    """A message or a call that a machine reads at an instant."""
+
+    at: float
+    read: Callable[[Replica], None]
 
 
 class World:
@@ -46,6 +58,8 @@
         self.full: set[str] = set()
         """Machines whose disk_ids take nothing."""
         self.loss = self.doubles = 0.0
+        self.answer_loss = 0.0
+        """The chance that the answer to an operator's call is lost."""
         self.delay = 0.002
         self.synced = 0.8
         """The chance that a persist is done within a step."""
@@ -82,6 +96,35 @@
         m.replica = self.kind(voter, self.founders, m.bootstrap, self.losses, self.now, m.disk.vote, accepted)
         m.replica.known = [(o, 1) for o in self.machines]
         m.persisting = []
+        m.paused, m.inbox = False, []
+
+    def pause(self, ip: str) -> None:
+        """The process stands still: it reads nothing and does nothing, and keeps what it knows."""
+        self.machines[ip].paused = True
+
+    def resume(self, ip: str) -> None:
+        """It runs again. What has come is read within the next instants, in any order beside turns and new calls."""
+        m = self.machines[ip]
+        m.paused = False
+        m.inbox = [Arrival(self.now + 0.1 * self.rng.random(), arrival.read) for arrival in m.inbox]
+
+    def arrive(self, m: Machine, read: Callable[[Replica], None]) -> None:
+        """A message or a call has come to a machine."""
+        if m.replica is None:
+            return
+        if m.paused:
+            m.inbox.append(Arrival(self.now, read))
+            return
+        read(m.replica)
+        self.carry_out(m)
+
+    def read_inbox(self, m: Machine) -> None:
+        """What has come while it stood still."""
+        due = [arrival for arrival in m.inbox if arrival.at <= self.now]
+        m.inbox = [arrival for arrival in m.inbox if arrival.at > self.now]
+        self.rng.shuffle(due)
+        for arrival in due:
+            self.arrive(m, arrival.read)
 
     def kill(self, ip: str, some: bool = True) -> None:
         """Power is lost: of what is not synced a first part may be on the disk."""
@@ -91,6 +134,7 @@
                 self.write(m, act)
         m.replica = None
         m.persisting = []
+        m.paused, m.inbox = False, []
 
     def wipe(self, ip: str) -> None:
         self.kill(ip, some=False)
@@ -121,14 +165,17 @@
             self.rng.shuffle(due)
             for _, sender, to, message in due:
                 m = self.machines.get(to)
-                if m is not None and m.replica is not None and (sender, to) not in self.cut:
-                    m.replica.receive(self.now, message)
-                    self.carry_out(m)
+                if m is not None and (sender, to) not in self.cut:
+                    self.deliver(m, message)
+
+    def deliver(self, m: Machine, message: ConsensusMessage) -> None:
+        self.arrive(m, lambda replica: replica.receive(self.now, message))
 
     def step(self, ip: str) -> None:
         m = self.machines[ip]
-        if m.replica is None:
+        if m.replica is None or m.paused:
             return
+        self.read_inbox(m)
         while m.persisting and self.rng.random() < self.synced:
             act = m.persisting.pop(0)
             if ip not in self.full:
@@ -171,14 +218,19 @@
     def leaders(self) -> list[str]:
         return [ip for ip, m in self.machines.items() if m.replica is not None and m.replica.role.name == "LEADER"]
 
-    def put(self, ip: str, base: int, generation: int) -> None:
+    def put(self, ip: str, base: int, generation: int, variant: int = 0) -> Call | None:
+        """Ask the member at an address for a change; None where there is nobody."""
         m = self.machines[ip]
         if m.replica is None:
-            return
-        self.begin(Call(self.now, math.inf, "put", generation, base))
-        text = b"config %d" % generation
-        m.replica.put(self.now, self.calls, base, generation, text, text)
-        self.carry_out(m)
+            return None
+        call = self.begin(Call(self.now, math.inf, "put", generation, base, variant=variant))
+        number, text = self.calls, text_of(generation, variant)
+        self.arrive(m, lambda replica: replica.put(self.now, number, base, generation, text, text))
+        return call
+
+    def again(self, ip: str, call: Call) -> Call | None:
+        """The same change once more, as an operator sends it that had no clear answer."""
+        return self.put(ip, call.base, call.generation, call.variant)
 
     def get(self, ip: str) -> Call | None:
         """Ask the member at an address for the configuration; None where there is nobody."""
@@ -186,8 +238,8 @@
         if m.replica is None:
             return None
         call = self.begin(Call(self.now, math.inf, "get", 0))
-        m.replica.get(self.now, self.calls)
-        self.carry_out(m)
+        number = self.calls
+        self.arrive(m, lambda replica: replica.get(self.now, number))
         return call
 
     def begin(self, call: Call) -> Call:
@@ -208,16 +260,19 @@
         call = self.asked.pop(act.call, None)
         if call is None:
             return
+        if self.answer_loss and self.rng.random() < self.answer_loss:
+            return
         call.ended = self.now
         if call.kind == "get":
             if act.status in (200, 404):
-                call.told, call.generation = Told.DONE, int(act.text.split()[1]) if act.status == 200 else 0
+                call.told = Told.DONE
+                call.generation, call.variant = version_of(act.text) if act.status == 200 else (0, 0)
         elif act.status == 200:
             call.told = Told.DONE
-            self.acked[call.generation] = b"config %d" % call.generation
+            self.acked[call.generation] = text_of(call.generation, call.variant)
             self.winners.setdefault(call.base, set()).add(call.generation)
         elif act.status in (400, 412):
-            call.told = Told.STALE if act.status == 412 else Told.UNCLEAR
+            call.told = Told.STALE if act.status == 412 else Told.NOT_ABOVE
             self.refused.append((call.base, call.generation))
 
     # --- what must hold ---
@@ -252,7 +307,20 @@
         self.cut.clear()
         self.full.clear()
         self.loss = self.doubles = 0.0
+        self.answer_loss = 0.0
         for ip, m in self.machines.items():
             if m.replica is None:
                 self.start(ip)
+            elif m.paused:
+                self.resume(ip)
         self.run(span)
+
+
+def text_of(generation: int, variant: int) -> bytes:
+    """A configuration: its number, and which of several texts under it."""
+    return b"config %d %d" % (generation, variant) if variant else b"config %d" % generation
+
+
+def version_of(text: bytes) -> tuple[int, int]:
+    _, generation, *variant = text.split()
+    return int(generation), int(variant[0]) if variant else 0
--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -14,6 +14,7 @@
 from ...core.protocol import read_address
 from ...http1.heads import Answer
 from ..configuration.document import read
+from ..consensus.client_calls import call_timeout
 from ..consensus.messages import Action, Commit, Persist, ReplicaRole, Reply, Send
 from ..consensus.replica import Replica
 from ..consensus.store import Store
@@ -31,11 +32,12 @@
 log = logging.getLogger(__name__)
 
 TURN = 0.05  # s between two turns of the order
-HANDED_ON = 3.0  # s for which a call that was handed on to the leader is waited for
+FORWARDING_TIME = 0.2  # s by which a call may take longer than at the leader, to find it and to be handed on
+FIND_LEADER_INTERVAL = 0.05  # s between two looks at who leads
 EXPLAINED = 0.7  # s in which a sidecar says whether it remembers a request
-FINDS = 1.5  # s for which a call waits for leader
 KNOWN_FOR = 0.8  # s in which news that was acknowledged has to be known to others
 LARGE = 64 * 1024  # bytes of a configuration from which on it is checked in a thread
+MAX_VERSION_DIGITS = 19  # of a version, so that it stays below 2 ** 64
 BACKLOG = 1024
 
 
@@ -182,17 +184,21 @@
         return waiting
 
     async def settle(self, ask: ControlCall) -> tuple[int, bytes]:
-        """Have the leader answer, here or elsewhere."""
-        until = self.loop.time() + FINDS
-        while True:
+        """Have the leader answer, here or elsewhere; 503 soon enough for the caller to go on to another member."""
+        until = self.loop.time() + call_timeout(len(ask.text)) + FORWARDING_TIME
+        while (left := until - self.loop.time()) > 0:
+            leader = self.replica.leader
+            voter = next((v for v in self.replica.voters() if v.disk == leader), None)
             if self.replica.role is ReplicaRole.LEADER:
-                return await self.settle_here(ask)
-            seat = next((s for s in self.replica.voters() if s.disk == self.replica.leader), None)
-            if seat is not None:
-                return await self.hand_on(seat, ask)
-            if self.loop.time() > until:
-                return 503, b"nobody acts"
-            await asyncio.sleep(0.05)
+                status, text = await self.settle_here(ask)
+            elif voter is not None:
+                status, text = await self.hand_on(voter, ask, left)
+            else:
+                await asyncio.sleep(FIND_LEADER_INTERVAL)
+                continue
+            if status != 503 or self.replica.leader == leader:
+                return status, text
+        return 503, b"no leader answers"
 
     async def settle_here(self, ask: ControlCall) -> tuple[int, bytes]:
         now = self.loop.time()
@@ -202,8 +208,9 @@
         digest = hashlib.blake2b(ask.text, digest_size=16).digest()
         return await self.ask(lambda n: self.replica.put(now, n, ask.base, configuration.generation, ask.text, digest))
 
-    async def hand_on(self, seat: Voter, ask: ControlCall, within: float = HANDED_ON) -> tuple[int, bytes]:
-        line = self.node.line((seat.ip, seat.port))
+    async def hand_on(self, voter: Voter, ask: ControlCall, within: float) -> tuple[int, bytes]:
+        """Ask another process, and wait for its answer for so many s."""
+        line = self.node.line((voter.ip, voter.port))
         told: asyncio.Future[tuple[int, bytes]] = self.loop.create_future()
 
         def answer(frame: Frame | None) -> None:
@@ -215,7 +222,7 @@
             async with asyncio.timeout(within):
                 return await told
         except TimeoutError:
-            return 503, b"the leader doesn't answer"
+            return 503, b"no answer in time"
         finally:
             line.over(stream)
 
@@ -226,7 +233,7 @@
 
         async def run() -> None:
             if self.replica.role is not ReplicaRole.LEADER:
-                status, text = 503, b"does not act"
+                status, text = 503, b"does not lead"
             else:
                 try:
                     status, text = await self.settle_here(ask)
@@ -240,7 +247,7 @@
 
     async def on_replace(self, call: Call) -> Answer:
         base = call.headers.get("x-base-version", "")
-        if not base.isdecimal():
+        if not base.isascii() or not base.isdecimal() or len(base) > MAX_VERSION_DIGITS:
             wrong = MeshError("BASE_MISSING", "must be the version that this one builds on", "X-Base-Version")
             return refuse(400, wrong)
         # In a thread: a large one takes a second, and this member's word is waited for ten times in that.
