The explorer pauses and resumes members, and has two operators with retries and reads

Cause: the state machine was explored with two changes that the leader has from the start; a leader that stands still, refusals and reads were in no state, so that a refusal without a majority could not be found.

Change: members stand still and read what has come in any order with one turn of their own; leaders are asked for changes, also again, and for reads, within a budget; the history of each state is judged. Explorations may start after a leader was replaced, or after a version was acknowledged that the next leader lacks. Copies of states share what is never changed in place (model/clone.py); the key of a state holds ages, rounds and calls, too, and each expanded state is checked not to have changed. Variants broken on purpose are found: a refusal and a read without a majority, a confirmation of an earlier round, a voter that confirms whoever asks, a leader that answers before it has committed under its own term, a taken change that is forgotten and refused.

--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -11,8 +11,10 @@
 import statistics
 import sys
 import time
+from dataclasses import replace
 
-from zinclever.mesh.model.explore import Budget, Explorer
+from zinclever.mesh.model.explore import Explorer, Start
+from zinclever.mesh.model.explored_state import Budget
 from zinclever.mesh.model.field import Field, endpoint
 from zinclever.mesh.model.members import World
 
@@ -111,17 +113,30 @@
 
 def explore(sizes: list[int]) -> None:
     """Every order of events for three members and two operators, breadth first, to so many states."""
-    budgets = {
-        "a crash": Budget(turns=1, crashes=1, losses=0),
-        "a lost disk": Budget(turns=1, crashes=0, wipes=1, losses=0),
-        "a lost message, two take-overs": Budget(turns=2, crashes=0, losses=1),
-        "a doubled message": Budget(turns=1, crashes=0, losses=0, doubles=1),
+    quiet = Budget(turns=0, crashes=0, losses=0)
+    cases = {
+        "a crash": (Start.ASKED, replace(quiet, turns=1, crashes=1)),
+        "a lost disk": (Start.ASKED, replace(quiet, turns=1, wipes=1)),
+        "a lost message, two take-overs": (Start.ASKED, replace(quiet, turns=2, losses=1)),
+        "a doubled message": (Start.ASKED, replace(quiet, turns=1, doubles=1)),
+        "a pause": (Start.ASKED, replace(quiet, turns=1, pauses=1, changes=1, reads=1)),
+        "a leader replaced, calls": (Start.REPLACED, replace(quiet, changes=2, reads=1)),
+        "a leader replaced, a take-over": (Start.REPLACED, replace(quiet, turns=1, changes=1, reads=1)),
+        "a leader replaced, a lost message": (Start.REPLACED, replace(quiet, losses=1, changes=2, reads=1)),
+        "a leader replaced, a crash": (Start.REPLACED, replace(quiet, crashes=1, changes=1, reads=1)),
+        "a member behind takes over": (Start.BEHIND, replace(quiet, changes=1, reads=1)),
+        "a member behind takes over, a crash": (Start.BEHIND, replace(quiet, crashes=1, reads=1)),
     }
     for most in sizes:
-        for name, budget in budgets.items():
+        for name, (start, budget) in cases.items():
             began = time.perf_counter()
-            states = Explorer(budget=budget).explore(most, 30)
-            print(f"{name}: {states} states in {time.perf_counter() - began:.0f} s, no invariant broken", flush=True)
+            explorer = Explorer(budget=budget, start=start)
+            states = explorer.explore(most, 30)
+            print(
+                f"{name}: {states} states and {len(explorer.judged)} histories in {time.perf_counter() - began:.0f} s, "
+                f"{'all of them' if states < most else 'broken off there'}, no invariant broken",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/tests/mesh/test_explore.py
+++ b/tests/mesh/test_explore.py
@@ -7,7 +7,8 @@
 from mesh.cases import params
 from zinclever.mesh.consensus import messages
 from zinclever.mesh.consensus.replica import Replica
-from zinclever.mesh.model.explore import Broken, Budget, Explorer
+from zinclever.mesh.model.explore import Broken, Explorer, Start
+from zinclever.mesh.model.explored_state import Budget
 from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry
 
 
@@ -21,11 +22,44 @@
     def test_invariants(self, name: str, budget: Budget, most: int, depth: int) -> None:
         self.assertGreater(Explorer(budget=budget).explore(most, depth), 500, name)
 
+    @params(
+        ("a member stands still during a take-over", Start.ASKED, Budget(turns=1, crashes=0, losses=0, pauses=1)),
+        (
+            "two operators, a read, and a leader that was replaced",
+            Start.REPLACED,
+            Budget(turns=0, crashes=0, losses=0, changes=2, reads=1),
+        ),
+        (
+            "a leader that was replaced, and a lost message",
+            Start.REPLACED,
+            Budget(turns=0, crashes=0, losses=1, changes=1, reads=1),
+        ),
+        (
+            "a member that has missed a version takes over",
+            Start.BEHIND,
+            Budget(turns=0, crashes=0, losses=0, changes=1, reads=1),
+        ),
+    )
+    def test_calls_of_operators(self, name: str, start: Start, budget: Budget) -> None:
+        explorer = Explorer(budget=budget, start=start)
+        self.assertGreater(explorer.explore(2500, 12), 1000, name)
+        self.assertGreater(len(explorer.judged), 1, name)
+
+    def test_copies_share_nothing_that_changes(self) -> None:
+        start = Explorer(budget=Budget(), start=Start.REPLACED).start
+        key, made = start.key(), start.copy()
+        self.assertEqual(made.key(), key)
+        for replica in made.orders:
+            replica.tick(99.0)
+            replica.calls.drop()
+            replica.heard_at.clear()
+        self.assertEqual(start.key(), key)
+
 
 class BrokenOnPurpose(unittest.TestCase):
-    def found_cluster(self, kind: type[Replica], budget: Budget) -> bool:
+    def found_cluster(self, kind: type[Replica], budget: Budget, start: Start = Start.ASKED) -> bool:
         try:
-            Explorer(kind, budget).explore(6000, 12)
+            Explorer(kind, budget, start).explore(6000, 12)
         except Broken:
             return True
         return False
@@ -69,6 +103,63 @@
 
         self.assertTrue(self.found_cluster(Proud, Budget(turns=1, crashes=0, losses=0)))
 
+    def test_a_refusal_without_a_majority(self) -> None:
+        class Sure(Replica):
+            def answer_confirmed(self) -> None:
+                if self.is_established():
+                    self.calls.answer_confirmed(self.committed, [v.disk for v in self.committed.voters])
+
+        changes = Budget(turns=0, crashes=0, losses=0, changes=1)
+        self.assertTrue(self.found_cluster(Sure, changes, Start.REPLACED))
+        reads = Budget(turns=0, crashes=0, losses=0, reads=1)
+        self.assertTrue(self.found_cluster(Sure, reads, Start.REPLACED))
+
+    def test_a_confirmation_of_an_earlier_round(self) -> None:
+        class Content(Replica):
+            def answer_confirmed(self) -> None:
+                for entry in self.calls.unconfirmed:
+                    if self.calls.confirmations.confirmed:
+                        self.calls.confirmations.confirmed = dict.fromkeys(
+                            self.calls.confirmations.confirmed, entry.round
+                        )
+                super().answer_confirmed()
+
+        self.assertTrue(
+            self.found_cluster(Content, Budget(turns=0, crashes=0, losses=0, reads=1), Start.REPLACED),
+        )
+
+    def test_a_voter_that_confirms_whoever_asks(self) -> None:
+        class Polite(Replica):
+            def on_confirm_leadership(self, m: ConsensusMessage) -> None:
+                self.answer(
+                    m,
+                    ConsensusMessage(
+                        kind=messages.Kind.LEADERSHIP_CONFIRMED,
+                        disk=self.me.disk,
+                        term=m.term,
+                        round=m.round,
+                        granted=True,
+                    ),
+                )
+
+        self.assertTrue(self.found_cluster(Polite, Budget(turns=0, crashes=0, losses=0, reads=1), Start.REPLACED))
+
+    def test_a_leader_that_answers_before_it_knows_what_is_committed(self) -> None:
+        class Eager(Replica):
+            def is_established(self) -> bool:
+                return self.role is messages.ReplicaRole.LEADER
+
+        self.assertTrue(self.found_cluster(Eager, Budget(turns=0, crashes=0, losses=0, reads=1), Start.BEHIND))
+
+    def test_a_change_that_is_forgotten_and_refused(self) -> None:
+        class Forgetful(Replica):
+            def propose(self, now: float, entry: LogEntry) -> None:
+                del entry.applied[:]
+                entry.applied.add(generation=entry.generation)
+                super().propose(now, entry)
+
+        self.assertTrue(self.found_cluster(Forgetful, Budget(turns=0, crashes=0, losses=0, changes=1), Start.REPLACED))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/zinclever/mesh/model/explore.py
+++ b/zinclever/mesh/model/explore.py
@@ -1,91 +1,56 @@
 """Every order in which a few things may happen to three members: a small model checker for the replicas.
 
 A state is what the members are, what is under way between them, and what may still befall them. From each state every
-move is tried; states that were seen are not entered again. Words that are said each turn anyway arrive at once, so that
-what is explored is what matters: pending_vote_requests, votes, proposals and answers, in any order, lost or doubled,
-and a crash
-before or after any sync.
+move is tried; states that were seen are not entered again. Heartbeats arrive at once, but at a member that stands
+still, so that what is explored is what matters: votes, proposals, confirmations and answers, in any order, lost or
+doubled; a crash before or after any sync; a member that stands still, and reads what has come in any order once it
+runs again; operators that ask leaders for changes, also for the same again, and for what is in force.
 """
 
 from __future__ import annotations
 
-import copy
-import hashlib
+import math
 from collections import deque
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from enum import Enum
 
-from ..consensus.messages import Commit, Kind, Persist, Reply, Send, Vote
+from ..consensus.messages import Commit, Kind, Persist, ReplicaRole, Reply, Send, Vote
 from ..consensus.replica import Replica
 from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
+from .explored_state import Budget, State
+from .histories import Call, Told, linearizable
+from .members import text_of, version_of
 
 ELECTION_STAGGER = 0.9  # s that pass in a turn: whoever doesn't receive from the leader tries to act
+CHANGES = ((0, 1), (0, 2), (1, 3), (3, 5), (1, 1))
+"""What operators ask for, as base and generation: two on one version, one on each that may follow, and one whose number
+is not above the version that it builds on. Each may be asked for again."""
 
 
 class Broken(AssertionError):
     """Something that must hold doesn't."""
 
 
-@dataclass
-class Budget:
-    """What may still happen."""
-
-    turns: int = 2
-    crashes: int = 1
-    wipes: int = 0
-    losses: int = 1
-    doubles: int = 0
-
-
-@dataclass
-class State:
-    orders: list[Replica]
-    disk_ids: list[tuple[Vote, LogEntry | None]]
-    names: list[str]
-    persisting: list[list[Persist]]
-    post: list[tuple[int, bytes]] = field(default_factory=list)
-    budget: Budget = field(default_factory=Budget)
-    now: float = 10.0
-    committed: dict[int, bytes] = field(default_factory=dict)
-    acked: list[tuple[int, int]] = field(default_factory=list)
-    """Base and generation of what was acknowledged."""
-    terms: list[int] = field(default_factory=lambda: [0, 0, 0])
-
-    def key(self) -> bytes:
-        """States with the same key go on alike."""
-        made = hashlib.blake2b(digest_size=16)
-        for o, d, s in zip(self.orders, self.disk_ids, self.persisting, strict=True):
-            told = (
-                o.role.name,
-                o.vote,
-                o.term,
-                o.leader,
-                sorted(o.votes),
-                sorted(o.have),
-                len(o.calls.waiting),
-                o.calls.current and o.calls.current.generation,
-                d[0],
-                round(self.now - o.leader_heard_at, 1) < 0.5,
-                [(a.vote, a.token - o.token) for a in s],
-            )
-            made.update(repr(told).encode())
-            for entry in (o.accepted, o.committed, o.proposed, d[1]):
-                made.update(b"-" if entry is None else entry.SerializeToString(deterministic=True))
-        made.update(repr((sorted(self.post), self.budget, round(self.now, 1), self.acked)).encode())
-        return made.digest()
+class Start(Enum):
+    """What has happened before the exploration begins."""
+
+    ASKED = "the leader has been asked for two changes on one version"
+    REPLACED = "the leader stands still; another was elected, and a version acknowledged that the first doesn't know"
+    BEHIND = "a version was acknowledged that one member lacks and the next has only accepted; the leader stands still"
 
 
 class Explorer:
-    """Explores from a founding_size voters, with two operators' entries on one version asked of the leader."""
+    """Explores from three voters with a leader and what has happened to them before."""
 
-    def __init__(self, kind: type[Replica] = Replica, budget: Budget | None = None) -> None:
+    def __init__(self, kind: type[Replica] = Replica, budget: Budget | None = None, start: Start = Start.ASKED) -> None:
         self.kind = kind
         voters = [Voter(disk=f"d{n}", name=f"m{n}", ip=f"10.0.0.{n}", port=1) for n in range(3)]
         self.voters = voters
+        self.judged: dict[tuple[Call, ...], bool] = {}
+        self.states = 0
         first = LogEntry(term=1, number=1, voters=voters, founding_size=3)
-        orders = [
-            kind(s, [(x.ip, 1) for x in voters], False, 1, 10.0, Vote(1, "d0"), copy.deepcopy(first)) for s in voters
-        ]
+        orders = [kind(s, [(x.ip, 1) for x in voters], False, 1, 10.0, Vote(1, "d0"), first) for s in voters]
         state = State(orders, [(Vote(1, "d0"), first)] * 3, ["d0", "d1", "d2"], [[], [], []])
         state.budget = budget or Budget()
         for o in orders:
@@ -93,21 +58,63 @@
             o.out.clear()
             o.heard_at = {s.disk: 10.0 for s in voters if s.disk != o.me.disk}
             o.leader, o.leader_heard_at = "d0", 10.0
-        o = orders[0]
-        o.term = o.established_term = 1
-        o.become(type(o.role).LEADER, 10.0)
-        o.put(10.0, 1, 0, 1, b"one", b"one")
-        o.put(10.0, 2, 0, 2, b"two", b"two")
+        orders[0].term = orders[0].established_term = 1
+        orders[0].become(ReplicaRole.LEADER, 10.0)
         self.start = state
-        self.settle_down(state)
-        self.states = 0
+        prepare: dict[Start, Callable[[State], None]] = {
+            Start.ASKED: self.prepare_asked,
+            Start.REPLACED: self.prepare_replaced,
+            Start.BEHIND: self.prepare_behind,
+        }
+        prepare[start](state)
+
+    # --- what has happened before ---
+
+    def prepare_asked(self, state: State) -> None:
+        self.ask_change(state, 0, 0, 1)
+        self.ask_change(state, 0, 0, 2)
+
+    def prepare_replaced(self, state: State) -> None:
+        self.ask_change(state, 0, 0, 1)
+        self.ask_read(state, 0)
+        self.calm(state)
+        state.paused.add(0)
+        self.turn(state)
+        self.calm(state)
+        self.ask_change(state, 1, 1, 3)
+        self.calm(state)
+
+    def prepare_behind(self, state: State) -> None:
+        self.ask_change(state, 0, 0, 1)
+        state.paused = {0, 1}
+        self.calm(state)  # the third accepts it
+        state.paused = {1, 2}
+        self.calm(state)  # it is committed, and only the leader knows
+        state.paused = {0}
+        self.turn(state)
+
+    def calm(self, state: State) -> None:
+        """All that is under way arrives, in its order, but at members that stand still."""
+        while True:
+            n = next((n for n, (to, _) in enumerate(state.post) if to not in state.paused), None)
+            writing = next((n for n, acts in enumerate(state.persisting) if acts and n not in state.paused), None)
+            if writing is not None:
+                self.sync(state, writing)
+            elif n is not None:
+                to, data = state.post.pop(n)
+                self.receive(state, to, data)
+            else:
+                return
+
+    # --- the search ---
 
     def explore(self, most: int, depth: int) -> int:
         """States visited, breadth first: to a depth of so many moves, or until there are so many."""
+        self.check(self.start)
         seen = {self.start.key()}
-        queue: deque[tuple[State, int]] = deque([(self.start, 0)])
+        queue: deque[tuple[State, bytes, int]] = deque([(self.start, self.start.key(), 0)])
         while queue and len(seen) < most:
-            state, at = queue.popleft()
+            state, known, at = queue.popleft()
             if at == depth:
                 continue
             for made in self.moves(state):
@@ -115,77 +122,152 @@
                 k = made.key()
                 if k not in seen:
                     seen.add(k)
-                    queue.append((made, at + 1))
+                    queue.append((made, k, at + 1))
+            assert state.key() == known, "a move has changed the state that it was made from"
         self.states = len(seen)
         return self.states
 
-    # --- moves ---
-
     def moves(self, state: State) -> Iterator[State]:
-        b = state.budget
-        for n, item in enumerate(state.post):
-            if item in state.post[:n]:
+        yield from self.moves_of_messages(state)
+        for n in range(3):
+            yield from self.moves_of_member(state, n)
+            if state.orders[n].role is ReplicaRole.LEADER:
+                yield from self.moves_of_operators(state, n)
+        if state.budget.turns:
+            made = state.copy()
+            made.budget.turns -= 1
+            self.turn(made)
+            yield made
+
+    def moves_of_messages(self, state: State) -> Iterator[State]:
+        for n, (to, data) in enumerate(state.post):
+            if to in state.paused:
                 continue
-            yield self.commit(state, n, keep=False)
-            if b.losses:
-                made = copy.deepcopy(state)
+            made = state.copy()
+            del made.post[n]
+            self.receive(made, to, data)
+            yield made
+            if state.budget.losses:
+                made = state.copy()
                 del made.post[n]
                 made.budget.losses -= 1
                 yield made
-            if b.doubles:
-                made = self.commit(state, n, keep=True)
+            if state.budget.doubles:
+                made = state.copy()
                 made.budget.doubles -= 1
+                self.receive(made, to, data)
                 yield made
-        for n in range(3):
-            if state.persisting[n]:
-                made = copy.deepcopy(state)
-                act = made.persisting[n].pop(0)
-                self.write(made, n, act)
-                made.orders[n].persisted(made.now, act.token, True)
-                self.settle_down(made)
-                yield made
-            if b.crashes:
-                made = copy.deepcopy(state)
-                made.budget.crashes -= 1
-                self.restart(made, n)
-                yield made
-            if b.wipes:
-                made = copy.deepcopy(state)
-                made.budget.wipes -= 1
-                made.names[n] = f"e{n}"
-                made.disk_ids[n] = (Vote(0, ""), None)
-                self.restart(made, n)
+
+    def moves_of_member(self, state: State, n: int) -> Iterator[State]:
+        b = state.budget
+        if n in state.paused:
+            made = state.copy()
+            made.paused.discard(n)
+            made.resumed.add(n)
+            yield made
+            return
+        if state.persisting[n]:
+            made = state.copy()
+            self.sync(made, n)
+            yield made
+        if n in state.resumed:
+            made = state.copy()
+            self.tick(made, n)
+            yield made
+        if b.crashes:
+            made = state.copy()
+            made.budget.crashes -= 1
+            self.restart(made, n)
+            yield made
+        if b.wipes:
+            made = state.copy()
+            made.budget.wipes -= 1
+            made.names[n] = f"e{n}"
+            made.disk_ids[n] = (Vote(0, ""), None)
+            self.restart(made, n)
+            yield made
+        if b.pauses:
+            made = state.copy()
+            made.budget.pauses -= 1
+            made.paused.add(n)
+            yield made
+
+    def moves_of_operators(self, state: State, n: int) -> Iterator[State]:
+        """Of a member that stands still nothing is asked: a call that waits there is as one that comes later."""
+        if n in state.paused:
+            return
+        if state.budget.changes:
+            for base, generation in CHANGES:
+                made = state.copy()
+                made.budget.changes -= 1
+                self.ask_change(made, n, base, generation)
                 yield made
-        if b.turns:
-            made = copy.deepcopy(state)
-            made.budget.turns -= 1
-            made.now += ELECTION_STAGGER
-            for o in made.orders:
-                for other in made.orders:
-                    if other is not o:
-                        o.heard_at[other.me.disk] = made.now
-                o.tick(made.now)
-            self.settle_down(made)
+        if state.budget.reads:
+            made = state.copy()
+            made.budget.reads -= 1
+            self.ask_read(made, n)
             yield made
 
-    def commit(self, state: State, n: int, keep: bool) -> State:
-        made = copy.deepcopy(state)
-        to, data = made.post[n] if keep else made.post.pop(n)
-        made.orders[to].receive(made.now, ConsensusMessage.FromString(data))
-        self.settle_down(made)
-        return made
+    # --- what a move does to a state ---
+
+    def receive(self, state: State, to: int, data: bytes) -> None:
+        state.orders[to].receive(state.now, ConsensusMessage.FromString(data))
+        self.settle_down(state)
 
-    def write(self, state: State, n: int, act: Persist) -> None:
+    def sync(self, state: State, n: int) -> None:
+        """The oldest save of a member is on its disk."""
+        act = state.persisting[n].pop(0)
         state.disk_ids[n] = (act.vote, act.accepted if act.accepted is not None else state.disk_ids[n][1])
+        state.orders[n].persisted(state.now, act.token, True)
+        self.settle_down(state)
+
+    def tick(self, state: State, n: int) -> None:
+        state.resumed.discard(n)
+        state.orders[n].tick(state.now)
+        self.settle_down(state)
+
+    def turn(self, state: State) -> None:
+        """Time passes, in which those that run hear each other."""
+        state.now += ELECTION_STAGGER
+        running = [o for n, o in enumerate(state.orders) if n not in state.paused]
+        state.resumed.clear()
+        for o in running:
+            for other in running:
+                if other is not o:
+                    o.heard_at[other.me.disk] = state.now
+            o.tick(state.now)
+        self.settle_down(state)
 
     def restart(self, state: State, n: int) -> None:
         voter = Voter(disk=state.names[n], name=f"m{n}", ip=f"10.0.0.{n}", port=1)
         vote, accepted = state.disk_ids[n]
-        state.orders[n] = self.kind(
-            voter, [(x.ip, 1) for x in self.voters], False, 1, state.now, vote, copy.deepcopy(accepted)
-        )
+        state.orders[n] = self.kind(voter, [(x.ip, 1) for x in self.voters], False, 1, state.now, vote, accepted)
         state.persisting[n] = []
         state.terms[n] = 0
+        state.resumed.discard(n)
+
+    def ask_change(self, state: State, n: int, base: int, generation: int) -> None:
+        call, text = self.begin(state, Call(0, math.inf, "put", generation, base)), text_of(generation, 0)
+        state.orders[n].put(state.now, call, base, generation, text, text)
+        self.settle_down(state)
+
+    def ask_read(self, state: State, n: int) -> None:
+        state.orders[n].get(state.now, self.begin(state, Call(0, math.inf, "get", 0)))
+        self.settle_down(state)
+
+    def begin(self, state: State, call: Call) -> int:
+        """A call begins: its number."""
+        state.instant += 1
+        state.history += (replace(call, began=state.instant),)
+        return len(state.history) - 1
+
+    def answer(self, state: State, reply: Reply) -> None:
+        told = {200: Told.DONE, 404: Told.DONE, 412: Told.STALE, 400: Told.NOT_ABOVE}.get(reply.status, Told.UNCLEAR)
+        state.instant += 1
+        call = replace(state.history[reply.call], ended=state.instant, told=told)
+        if call.kind == "get" and reply.status == 200:
+            call.generation, call.variant = version_of(reply.text)
+        state.history = (*state.history[: reply.call], call, *state.history[reply.call + 1 :])
 
     def settle_down(self, state: State) -> None:
         """Carry out what the members want: saves and messages wait for a move of their own."""
@@ -201,8 +283,7 @@
                     elif isinstance(act, Commit):
                         self.committed(state, act.entry)
                     elif isinstance(act, Reply):
-                        if act.status == 200:
-                            state.acked.append((0, act.call))
+                        self.answer(state, act)
                     elif isinstance(act, Send):
                         self.post(state, n, act)
 
@@ -211,7 +292,7 @@
         to = next((k for k, s in enumerate(self.voters) if s.ip == act.to.ip), None)
         if to is None:
             return
-        if to == n or act.message.kind == Kind.HEARTBEAT:
+        if to == n or (act.message.kind == Kind.HEARTBEAT and to not in state.paused):
             state.orders[to].receive(state.now, ConsensusMessage.FromString(data))
         elif (to, data) not in state.post:
             state.post.append((to, data))
@@ -219,19 +300,23 @@
     # --- what must hold ---
 
     def committed(self, state: State, entry: LogEntry) -> None:
-        kept = copy.deepcopy(entry)
+        kept = LogEntry()
+        kept.CopyFrom(entry)
         kept.term = 0
         text = kept.SerializeToString(deterministic=True)
         if state.committed.setdefault(entry.number, text) != text:
             raise Broken(f"two entries are committed under number {entry.number}")
 
     def check(self, state: State) -> None:
-        if len({g for _, g in state.acked}) > 1:
-            raise Broken("two entries on one version are acknowledged")
-        for _, generation in state.acked:
-            have = sum(d[1] is not None and d[1].generation >= generation for d in state.disk_ids)
-            if have < 2 - (state.names != ["d0", "d1", "d2"]):
-                raise Broken("what is acknowledged is on fewer disk_ids than may be lost")
+        if state.history not in self.judged:
+            self.judged[state.history] = linearizable(state.history)
+        if not self.judged[state.history]:
+            raise Broken(f"no order of the calls explains what they were told: {state.history}")
+        for call in state.history:
+            if call.kind == "put" and call.told is Told.DONE:
+                have = sum(d[1] is not None and d[1].generation >= call.generation for d in state.disk_ids)
+                if have < 2 - (state.names != ["d0", "d1", "d2"]):
+                    raise Broken("what is acknowledged is on fewer disks than may be lost")
         for n, o in enumerate(state.orders):
             if o.vote.term < state.terms[n]:
                 raise Broken("a term goes back")
--- /dev/null
+++ b/zinclever/mesh/model/explored_state.py
@@ -0,0 +1,97 @@
+"""A state of the explorer: three members, what is under way between them, what operators were told. Its copies and its
+key."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field, replace
+
+from ..consensus.messages import Persist, Vote
+from ..consensus.replica import Replica
+from ..transport.mesh_pb2 import LogEntry
+from .clone import clone
+from .histories import Call
+
+
+@dataclass
+class Budget:
+    """What may still happen."""
+
+    turns: int = 2
+    crashes: int = 1
+    wipes: int = 0
+    losses: int = 1
+    doubles: int = 0
+    pauses: int = 0
+    changes: int = 0
+    reads: int = 0
+
+
+@dataclass
+class State:
+    orders: list[Replica]
+    disk_ids: list[tuple[Vote, LogEntry | None]]
+    names: list[str]
+    persisting: list[list[Persist]]
+    post: list[tuple[int, bytes]] = field(default_factory=list)
+    budget: Budget = field(default_factory=Budget)
+    now: float = 10.0
+    committed: dict[int, bytes] = field(default_factory=dict)
+    history: tuple[Call, ...] = ()
+    """The calls of operators. Their instants count beginnings and ends of calls."""
+    instant: int = 0
+    terms: list[int] = field(default_factory=lambda: [0, 0, 0])
+    paused: set[int] = field(default_factory=set)
+    resumed: set[int] = field(default_factory=set)
+    """Those that run again and have had no turn since."""
+
+    def copy(self) -> State:
+        """A state to be changed by a move."""
+        return State(
+            clone(self.orders),
+            list(self.disk_ids),
+            list(self.names),
+            clone(self.persisting),
+            list(self.post),
+            replace(self.budget),
+            self.now,
+            dict(self.committed),
+            self.history,
+            self.instant,
+            list(self.terms),
+            set(self.paused),
+            set(self.resumed),
+        )
+
+    def age(self, instant: float) -> float:
+        return round(min(self.now - instant, 99.0), 1)
+
+    def key(self) -> bytes:
+        """States with the same key go on alike."""
+        made = hashlib.blake2b(digest_size=16)
+        for o, d, s in zip(self.orders, self.disk_ids, self.persisting, strict=True):
+            calls = o.calls
+            told = (
+                o.role.name,
+                o.vote,
+                o.term,
+                o.established_term,
+                o.leader,
+                sorted(o.votes),
+                sorted(o.have),
+                [(c.call, self.age(c.at)) for c in calls.waiting],
+                calls.current and (calls.current.call, self.age(calls.current.at)),
+                [(u.call.call, u.round, self.age(u.call.at)) for u in calls.unconfirmed],
+                sorted(calls.confirmations.confirmed.items()),
+                calls.confirmations.round,
+                d[0],
+                [self.age(at) for at in (o.leader_heard_at, o.role_since, o.votes_requested_at, o.proposed_at)],
+                sorted((disk, self.age(at)) for disk, at in o.heard_at.items()),
+                [(a.vote, a.token - o.token) for a in s],
+            )
+            made.update(repr(told).encode())
+            for entry in (o.accepted, o.committed, o.proposed, d[1]):
+                made.update(b"-" if entry is None else entry.SerializeToString(deterministic=True))
+        rest = (sorted(self.post), self.budget, self.history, sorted(self.paused), sorted(self.resumed))
+        made.update(repr(rest).encode())
+        return made.digest()
--- a/zinclever/mesh/model/histories.py
+++ b/zinclever/mesh/model/histories.py
@@ -26,7 +26,7 @@
     UNCLEAR = "no clear answer"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, unsafe_hash=True)
 class Call:
     """``generation``: of a change, the version that it makes; of a read, the one it was told. ``variant``: which of
     several texts under that number. Instants in s."""
