--- a/tests/mesh/test_voters.py
+++ b/tests/mesh/test_voters.py
@@ -92,12 +92,12 @@
             w = core(seed, 4, 1, 3)
             (leader,) = w.leaders()
             for ip in w.machines:
-                w.freeze(ip)
+                w.pause(ip)
             w.run(5.0)
-            w.thaw(leader)
+            w.resume(leader)
             w.run(0.3)
-            for ip in list(w.frozen):
-                w.thaw(ip)
+            for ip in [i for i, m in w.machines.items() if m.paused]:
+                w.resume(ip)
             w.run(2.0)
             self.assertEqual(len(voters(w)), 4)
             self.assertEqual(len(w.leaders()), 1)
