--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -3,20 +3,25 @@
 python -m benchmarks.mesh news 15 50 300
 python -m benchmarks.mesh cut 15 60
 python -m benchmarks.mesh order 3 5 7 9
+python -m benchmarks.mesh losses 3 5
 python -m benchmarks.mesh explore 40000
 """
 
 from __future__ import annotations
 
+import copy
+import math
 import statistics
 import sys
 import time
 
 from zinclever.mesh.model.explore import Budget, Explorer
 from zinclever.mesh.model.field import Field, endpoint
+from zinclever.mesh.model.histories import Told
 from zinclever.mesh.model.members import World
 
 LOSS = 0.02  # of datagrams
+LOSS_STEP = 0.04  # s between two instants at which a second loss is tried
 SETTLES = 6.0  # s of simulated time until all have met
 
 
@@ -109,6 +114,83 @@
         )
 
 
+def leaderless(world: World, trouble: str) -> float:
+    """s without a leader that answers a read, after a trouble of the present one."""
+    (leader,) = world.leaders()
+    if trouble == "kill":
+        world.kill(leader)
+    elif trouble == "freeze":
+        world.freeze(leader)
+    elif trouble == "one-way cut":  # it speaks and hears nobody
+        world.cut = {(o, leader) for o in world.machines if o != leader}
+    else:
+        world.terminate(leader, gone=True)
+    began = world.now
+    while world.now < began + 10.0:
+        others = [ip for ip in world.leaders() if ip != leader]
+        if others:
+            call = world.get(others[0])
+            world.run(0.02, step=0.002)
+            if call is not None and call.told is Told.DONE:
+                return call.ended - began
+        else:
+            world.run(0.01, step=0.002)
+    return math.inf
+
+
+def repair(world: World, kind: str, victim: str) -> None:
+    """Begin to replace a member; what has to be there before has had its time."""
+    if kind == "disk lost":
+        world.wipe(victim)
+        world.start(victim)
+    elif kind == "replaced":
+        world.remove(victim)
+        world.add("10.0.1.1")
+    else:
+        world.add("10.0.1.1")
+        world.run(4.0)
+        world.terminate(victim, gone=True)
+
+
+def vulnerable(world: World, kind: str, victim: str) -> float:
+    """s from the beginning of a repair to the last instant at which one more lost disk leaves no leader."""
+    repair(world, kind, victim)
+    began, last = world.now, 0.0
+    while world.now < began + 4.0:
+        stays = [ip for ip in world.machines if ip != victim and ip not in world.ending and ip != "10.0.1.1"]
+        trial = copy.deepcopy(world)
+        trial.wipe(trial.rng.choice(stays))
+        trial.run(2.5)
+        leaders = trial.leaders()
+        if not leaders or not trial.reads(leaders[0]):
+            last = world.now - began + LOSS_STEP
+        world.run(LOSS_STEP)
+    return last
+
+
+def losses(sizes: list[int]) -> None:
+    """Time without a leader after each trouble of it; time until a second loss is survived, after each kind of repair,
+    where the fault model names one loss and the set is as large as that needs, or larger."""
+    for size in sizes:
+        for trouble in ("kill", "freeze", "one-way cut", "leave"):
+            gaps = []
+            for seed in range(20):
+                world = World(seed, size, losses=(size - 1) // 2, founders=3)
+                world.run(4.0 + 0.01 * seed)
+                gaps.append(leaderless(world, trouble))
+            print(f"{size} members: leaderless after a {trouble}, s: {spread(gaps)}", flush=True)
+        for kind in ("disk lost", "replaced", "planned"):
+            for whose in ("the leader", "a follower"):
+                spans = []
+                for seed in range(4):
+                    world = World(seed, size, losses=1, founders=3)
+                    world.run(4.0)
+                    (leader,) = world.leaders()
+                    victim = leader if whose == "the leader" else next(i for i in world.machines if i != leader)
+                    spans.append(vulnerable(world, kind, victim))
+                print(f"{size} members, {kind}, {whose}: a second loss survived after s: {spread(spans)}", flush=True)
+
+
 def explore(sizes: list[int]) -> None:
     """Every order of events for three members and two operators, breadth first, to so many states."""
     budgets = {
@@ -124,5 +206,7 @@
             print(f"{name}: {states} states in {time.perf_counter() - began:.0f} s, no invariant broken", flush=True)
 
 
+VERBS = {"news": news, "cut": cut, "order": order, "losses": losses, "explore": explore}
+
 if __name__ == "__main__":
-    {"news": news, "cut": cut, "order": order, "explore": explore}[sys.argv[1]]([int(a) for a in sys.argv[2:]])
+    VERBS[sys.argv[1]]([int(a) for a in sys.argv[2:]])
