--- a/zinclever/mesh/consensus/messages.py
+++ b/zinclever/mesh/consensus/messages.py
@@ -22,6 +22,8 @@
     HAND_OVER = 8
     LEAVE = 10
     LEAVE_REPLY = 11
+    TEXT_WANTED = 20
+    TEXT_BLOCKS = 21
 
 
 class ReplicaRole(enum.Enum):
--- a/zinclever/mesh/consensus/store.py
+++ b/zinclever/mesh/consensus/store.py
@@ -77,9 +77,12 @@
     def save(self, act: Persist, done: Callable[[int, bool], None]) -> None:
         """Write in the thread, after the saves before; ``done`` is called on the loop."""
         self.counts["saves"] += 1
-        self.loop.run_in_executor(self.thread, self.write, act).add_done_callback(
-            lambda f: done(act.token, self.judge(f.exception()))
-        )
+
+        def written(future: asyncio.Future[None]) -> None:
+            if not future.cancelled():  # the store was closed before its turn came
+                done(act.token, self.judge(future.exception()))
+
+        self.loop.run_in_executor(self.thread, self.write, act).add_done_callback(written)
         self.thread.submit(self.mark)
 
     def mark(self) -> None:
