--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -1,14 +1,12 @@
-"""The replicated log: a member of the voters, as a pure machine.
+"""The replicated log: one replica, as a pure machine.
 
 What is committed is one value, the configuration in force and the voters, under a number that rises by one with each
-entry. One member acts, under a term that the others refuse to go below; it proposes the entry after the committed
-one, and that one is committed once enough disks have it (:func:`.views.has_commit_quorum`), those of the voters
-before and of the
-voters after it where it changes the voters. A member that takes over first asks a majority for what they have, puts the
-newest in force anew under its own term (stops and trims), and goes on from there.
+entry. One member leads, under a term that the others refuse to go below; it proposes the entry after the committed one,
+and that one is committed once enough disks have it (:meth:`.replication.Replication.is_committed`). A member that takes
+over first asks a majority for what they have, proposes the newest anew under its own term, and goes on from there.
 
 Instants in s; nothing here depends on the clocks of two machines agreeing. Sources: Viewstamped Replication Revisited
-(Liskov and Cowling, 2012) for the entry of views and a member without its disk; Paxos Made Simple (Lamport, 2001) for
+(Liskov and Cowling, 2012) for changes of the members and one without its disk; Paxos Made Simple (Lamport, 2001) for
 why the newest by term of a majority is safe.
 """
 
@@ -16,24 +14,20 @@
 
 from ..transport.mesh_pb2 import AppliedCall, ConsensusMessage, LogEntry, Voter
 from .client_calls import REMEMBERED
-from .messages import Kind, Proposal, ReplicaRole, Reply, Send, Vote, VotersChanged
-from .quorum import VoterChange, changes_voters, digest, disk_ids, has_commit_quorum, has_majority
-from .replica_state import ReplicaState
-
-HEARTBEAT_INTERVAL = 0.1  # s between two words of a member to the others
-ELECTION_TIMEOUT = 0.7  # s without a word of the leader after which the next in order takes over ...
-STARTUP_GRACE = (
-    0.25  # s after its own start for which a member takes the others to be up, too, before it has heard them
+from .election import Elections
+from .messages import Kind, Proposal, ReplicaRole, Reply, Vote, VotersChanged
+from .quorum import VoterChange, changes_voters, digest, disk_ids, has_majority
+from .timing import (
+    CATCH_UP_AFTER,
+    ELECTION_ROUND,
+    ELECTION_TIMEOUT,
+    HEARTBEAT_INTERVAL,
+    QUORUM_TIMEOUT,
+    RESEND_AFTER,
 )
-ELECTION_STAGGER = 0.35  # ... and each further one so much later
-LEADER_STICKINESS = 0.45  # s since its last word for which nobody helps to replace it
-QUORUM_TIMEOUT = 0.9  # s without a word of a majority after which the leader stops leading
-ELECTION_ROUND = 0.5  # s for which a majority is asked before a higher term is tried
-RESEND_AFTER = 0.15  # s after which what is not answered is said again
-CATCH_UP_AFTER = 0.3  # s for which a member lacks what is committed before it is sent whole
 
 
-class Replica(ReplicaState):
+class Replica(Elections):
     """One member. Feed it :meth:`tick`, :meth:`receive`, :meth:`persisted` and calls; carry out what is left in
     ``out``."""
 
@@ -54,7 +48,7 @@
         elif self.role is ReplicaRole.CANDIDATE:
             if now - self.role_since > ELECTION_ROUND:
                 self.become(ReplicaRole.FOLLOWER, now)
-                self.leader_heard_at = now - ELECTION_TIMEOUT  # the next in order has its turn, too
+                self.leader_heard_at = now - ELECTION_TIMEOUT  # the next in order gets its turn, too
             elif now - self.votes_requested_at > HEARTBEAT_INTERVAL:
                 self.request_votes(now)
         else:
@@ -74,54 +68,9 @@
             bootstrap=self.bootstrap and not self.voters(),
         )
 
-    def check_leader(self, now: float) -> None:
-        """Whether the leader is still heard of; the first live one in order after it takes over."""
-        if not self.is_voter() or self.leaving:
-            return
-        voters = disk_ids(self.voters())
-        live = {d for d, at in self.heard_at.items() if now - at < ELECTION_TIMEOUT} | {self.me.disk}
-        if self.me.disk not in voters or not has_majority(self.voters(), live):
-            return  # one that hears nobody gains nothing by asking, and takes the duty from who could have it
-        start = voters.index(self.leader) if self.leader in voters else -1
-        turn = 0
-        for n in range(1, len(voters) + 1):
-            disk = voters[(start + n) % len(voters)]
-            if disk == self.me.disk:
-                break
-            # The dead before this one are passed over; right after a start nobody is known to be dead.
-            if now - self.heard_at.get(disk, self.began + STARTUP_GRACE - ELECTION_TIMEOUT) < ELECTION_TIMEOUT:
-                turn += 1
-        if (
-            now - self.leader_heard_at > ELECTION_TIMEOUT + ELECTION_STAGGER * turn
-            and now - self.role_since > ELECTION_STAGGER * turn
-        ):
-            self.start_election(now)
-
-    def start_election(self, now: float) -> None:
-        """Ask for the duty under a higher term."""
-        self.become(ReplicaRole.CANDIDATE, now)
-        self.term = self.vote.term + 1
-        self.vote = Vote(self.term, self.me.disk)
-        mine = self.vote_reply(True, self.term)
-        self.persist(None, [Send(self.me, mine), *self.pending_vote_requests()])
-        self.votes_requested_at = now
-
-    def pending_vote_requests(self) -> list[Send]:
-        """To those that have not answered."""
-        return [
-            Send(s, ConsensusMessage(kind=Kind.VOTE_REQUEST, disk=self.me.disk, term=self.term, voter=self.me))
-            for s in self.others()
-            if s.disk not in self.votes
-        ]
-
-    def request_votes(self, now: float) -> None:
-        """Again: a member may have come up only now."""
-        if self.me.disk in self.votes:  # else its own vote is not on disk yet
-            self.votes_requested_at = now
-            self.out += self.pending_vote_requests()
-
     def lead(self, now: float) -> None:
-        """The duty: what is proposed goes on, members that are behind are told, the voters follows who is there."""
+        """A turn of the leader: the proposal is sent again, members that are behind are told, the voters follow who is
+        there."""
         live = {d for d, at in self.heard_at.items() if now - at < QUORUM_TIMEOUT} | {self.me.disk}
         if now - self.role_since > QUORUM_TIMEOUT and not has_majority(self.committed.voters or self.voters(), live):
             self.become(ReplicaRole.FOLLOWER, now)
@@ -197,7 +146,7 @@
                 )
 
     def hand_over(self, now: float) -> None:
-        """This member ends in order: what it acts for goes to the next one at once."""
+        """Give up the lead: the next voter in order stands for election at once."""
         if self.role is ReplicaRole.LEADER:
             for voter in self.others():
                 self.send(
@@ -223,7 +172,7 @@
     # --- the first voters ---
 
     def found_cluster(self, now: float) -> None:
-        """The first of the founders founds the voters, once all of them are there and none knows of one."""
+        """The first founder proposes the first set of voters, once all founders are there and none knows of one."""
         if now - self.heartbeat_at < HEARTBEAT_INTERVAL / 2:
             for ip, port in dict.fromkeys([*self.founders, *self.known]):
                 if (ip, port) != (self.me.ip, self.me.port):
@@ -291,138 +240,13 @@
         if self.role is ReplicaRole.LEADER and m.disk not in disk_ids(self.committed.voters):
             self.voter_changes.heartbeat(now, voter)
 
-    def follow(self, now: float, disk: str, term: int) -> None:
-        """Another acts under a term that this member doesn't refuse."""
-        if self.role in (ReplicaRole.LEADER, ReplicaRole.CANDIDATE) and term > self.term:
-            self.become(ReplicaRole.FOLLOWER, now)
-        if self.role is ReplicaRole.FOLLOWER or self.role is ReplicaRole.LEARNER:
-            self.leader, self.leader_heard_at = disk, now
-
-    def on_vote_request(self, now: float, m: ConsensusMessage) -> None:
-        sticky = self.leader not in ("", m.disk) and now - self.leader_heard_at < LEADER_STICKINESS
-        if sticky or m.term < self.vote.term or (m.term == self.vote.term and self.vote.disk not in ("", m.disk)):
-            self.answer(m, self.vote_reply(False, m.term))
-            return
-        if self.role in (ReplicaRole.LEADER, ReplicaRole.CANDIDATE):
-            self.become(ReplicaRole.FOLLOWER, now)
-        self.leader_heard_at = max(self.leader_heard_at, now - ELECTION_TIMEOUT / 2)
-        self.vote = Vote(m.term, m.disk)
-        voter = self.voter_of(m)
-        self.persist(None, [Send(voter, self.vote_reply(True, m.term))] if voter is not None else [])
-
-    def vote_reply(self, granted: bool, term: int) -> ConsensusMessage:
-        """What this member has; ``accepted`` is put in once the vote is on disk, by :meth:`persisted`."""
-        return ConsensusMessage(
-            kind=Kind.VOTE_REPLY, disk=self.me.disk, term=term, granted=granted, number=self.vote.term
-        )
-
-    def on_vote_reply(self, now: float, m: ConsensusMessage) -> None:
-        if self.role is not ReplicaRole.CANDIDATE or m.term != self.term:
-            return
-        if not m.granted:
-            if m.number > self.vote.term:
-                self.vote = Vote(m.number, "")  # the next try is above it
-            return
-        self.votes[m.disk] = m
-        committed = max([self.committed, *(p.committed for p in self.votes.values())], key=lambda c: c.number)
-        taken = [p.entry for p in self.votes.values() if p.HasField("entry")]
-        best = max(taken, key=lambda c: (c.number, c.term), default=committed)
-        if best.number < committed.number:
-            best = committed
-        if best.number > committed.number:
-            views = [list(v) for v in (best.previous_voters, best.voters) if v]
-        else:
-            views = [list(best.voters)] if best.voters else []
-        if not views or not all(has_majority(v, self.votes) for v in views):
-            return
-        if committed.number > self.committed.number:
-            self.commit(now, committed)
-        if self.me.disk not in disk_ids(best.voters):
-            self.become(ReplicaRole.FOLLOWER if self.is_voter() else ReplicaRole.LEARNER, now)
-            return
-        self.become(ReplicaRole.LEADER, now)
-        again = LogEntry()
-        again.CopyFrom(best)
-        again.term = self.term
-        self.propose(now, again)
-
-    # --- entries ---
-
-    def next_entry(self, voters: list[Voter]) -> LogEntry:
-        """The entry after the committed one: another voters, and all else as it is."""
-        made = LogEntry()
-        made.CopyFrom(self.committed)
-        made.term, made.number = self.term, self.committed.number + 1
-        del made.voters[:], made.previous_voters[:]
-        made.voters.extend(voters)
-        made.previous_voters.extend(self.committed.voters)
-        return made
-
-    def propose(self, now: float, entry: LogEntry) -> None:
-        self.proposed, self.proposed_at = entry, now
-        self.have = set()
-        self.offer(entry, self.have)
-
-    def offer(self, entry: LogEntry, have: set[str]) -> None:
-        """To all disk_ids of the voters before and after it that don't have it yet."""
-        voters = {s.disk: s for s in (*entry.previous_voters, *entry.voters)}
-        for disk, voter in voters.items():
-            if disk not in have:
-                self.send_append(voter, entry)
-
-    def send_append(self, voter: Voter, entry: LogEntry) -> None:
-        self.send(
-            voter,
-            ConsensusMessage(kind=Kind.APPEND, disk=self.me.disk, term=self.term, entry=entry, voter=self.me),
-        )
-
-    def on_append(self, now: float, m: ConsensusMessage) -> None:
-        entry = m.entry
-        known = self.vote.disk in ("", m.disk) or m.term > self.vote.term
-        vowed = m.term < self.vote.term or not known
-        if vowed or self.conflicts_with_founding(entry):
-            self.answer(
-                m,
-                ConsensusMessage(
-                    kind=Kind.APPEND_REPLY,
-                    disk=self.me.disk,
-                    term=m.term,
-                    number=entry.number,
-                    granted=False,
-                    round=self.vote.term if vowed else 0,
-                ),
-            )
-            return
-        if m.disk != self.me.disk:
-            self.follow(now, m.disk, m.term)
-        if self.has_newer(entry):
-            return  # said earlier by the same leader, and come late: what was promised since stays promised
-        self.vote = Vote(m.term, m.disk)
-        answer = ConsensusMessage(
-            kind=Kind.APPEND_REPLY, disk=self.me.disk, term=m.term, number=entry.number, granted=True
-        )
-        voter = self.voter_of(m)
-        self.persist(entry, [Send(voter, answer)] if voter is not None else [])
-
-    def has_newer(self, entry: LogEntry) -> bool:
-        """Whether this member has, or is about to have, a later entry of the same term."""
-        taken = [self.accepted, *(p.accepted for p in self.persisting.values())]
-        return any(e is not None and e.term == entry.term and e.number > entry.number for e in taken)
-
-    def conflicts_with_founding(self, entry: LogEntry) -> bool:
-        """Whether this would be a second first voters."""
-        if entry.number != 1:
-            return False
-        mine = self.accepted or self.committed
-        return mine.number > 1 or (mine.number == 1 and disk_ids(mine.voters) != disk_ids(entry.voters))
-
     def on_append_reply(self, now: float, m: ConsensusMessage) -> None:
         if not m.granted and m.round >= self.term and self.role is ReplicaRole.LEADER:
             self.become(ReplicaRole.FOLLOWER, now)
             if m.round > self.vote.term:
                 self.vote = Vote(m.round, "")  # the next try is above it
             elif self.is_voter() and not self.leaving:
-                # It courted under the same term and has vowed that to itself: it follows this one now, and would
+                # It stood under the same term and has voted for itself: it follows this one now, and would
                 # refuse it for good. Only a term above can have both.
                 self.start_election(now)
             return
@@ -436,18 +260,6 @@
         if self.is_committed(now, entry):
             self.finish_proposal(now, entry)
 
-    def is_committed(self, now: float, entry: LogEntry) -> bool:
-        """Whether enough disks have it: of the voters after it as many as the fault model asks, of those before it a
-        majority, which meets every quorum of theirs."""
-        first = entry.number == 1 and not self.committed.number and entry.term == 1
-        losses = len(entry.voters) - 1 if first else self.losses
-        before = entry.previous_voters if entry.number > self.committed.number else []
-        if before and not has_majority(before, self.have):
-            return False
-        live = {d for d, at in self.heard_at.items() if now - at < ELECTION_TIMEOUT} | {self.me.disk}
-        counted = self.voter_changes.counted(entry.voters, self.have, live, losses)
-        return has_commit_quorum(entry.voters, counted, losses)
-
     def finish_proposal(self, now: float, entry: LogEntry) -> None:
         self.proposed = None
         change, self.voter_changes.change = self.voter_changes.change, None
@@ -455,7 +267,7 @@
             self.out.append(VotersChanged(entry.number, change))
         self.commit(now, entry)
         self.calls.committed()
-        self.heartbeat_at = -1e9  # the others receive of it at once
+        self.heartbeat_at = -1e9  # the others hear of it at once
         if self.role is ReplicaRole.LEADER:
             self.tick(now)
 
--- /dev/null
+++ b/zinclever/mesh/consensus/replication.py
@@ -0,0 +1,100 @@
+"""The part of a replica that proposes entries, takes them, and judges when one is committed. Pure."""
+
+from __future__ import annotations
+
+from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
+from .messages import Kind, ReplicaRole, Send, Vote
+from .quorum import disk_ids, has_commit_quorum, has_majority
+from .replica_state import ReplicaState
+from .timing import ELECTION_TIMEOUT
+
+
+class Replication(ReplicaState):
+    """Entries, one after another, each with all that is in force after it."""
+
+    def next_entry(self, voters: list[Voter]) -> LogEntry:
+        """The entry after the committed one: these voters, and all else as it is."""
+        made = LogEntry()
+        made.CopyFrom(self.committed)
+        made.term, made.number = self.term, self.committed.number + 1
+        del made.voters[:], made.previous_voters[:]
+        made.voters.extend(voters)
+        made.previous_voters.extend(self.committed.voters)
+        return made
+
+    def propose(self, now: float, entry: LogEntry) -> None:
+        self.proposed, self.proposed_at = entry, now
+        self.have = set()
+        self.offer(entry, self.have)
+
+    def offer(self, entry: LogEntry, have: set[str]) -> None:
+        """Send an entry to all voters, before and after it, that don't have it yet."""
+        voters = {s.disk: s for s in (*entry.previous_voters, *entry.voters)}
+        for disk, voter in voters.items():
+            if disk not in have:
+                self.send_append(voter, entry)
+
+    def send_append(self, voter: Voter, entry: LogEntry) -> None:
+        self.send(
+            voter,
+            ConsensusMessage(kind=Kind.APPEND, disk=self.me.disk, term=self.term, entry=entry, voter=self.me),
+        )
+
+    def on_append(self, now: float, m: ConsensusMessage) -> None:
+        entry = m.entry
+        known = self.vote.disk in ("", m.disk) or m.term > self.vote.term
+        vowed = m.term < self.vote.term or not known
+        if vowed or self.conflicts_with_founding(entry):
+            self.answer(
+                m,
+                ConsensusMessage(
+                    kind=Kind.APPEND_REPLY,
+                    disk=self.me.disk,
+                    term=m.term,
+                    number=entry.number,
+                    granted=False,
+                    round=self.vote.term if vowed else 0,
+                ),
+            )
+            return
+        if m.disk != self.me.disk:
+            self.follow(now, m.disk, m.term)
+        if self.has_newer(entry):
+            return  # said earlier by the same leader, and come late: what was promised since stays promised
+        self.vote = Vote(m.term, m.disk)
+        answer = ConsensusMessage(
+            kind=Kind.APPEND_REPLY, disk=self.me.disk, term=m.term, number=entry.number, granted=True
+        )
+        voter = self.voter_of(m)
+        self.persist(entry, [Send(voter, answer)] if voter is not None else [])
+
+    def follow(self, now: float, disk: str, term: int) -> None:
+        """Another leads under a term that this member doesn't refuse."""
+        if self.role in (ReplicaRole.LEADER, ReplicaRole.CANDIDATE) and term > self.term:
+            self.become(ReplicaRole.FOLLOWER, now)
+        if self.role is ReplicaRole.FOLLOWER or self.role is ReplicaRole.LEARNER:
+            self.leader, self.leader_heard_at = disk, now
+
+    def has_newer(self, entry: LogEntry) -> bool:
+        """Whether this member has, or is about to have, a later entry of the same term."""
+        taken = [self.accepted, *(p.accepted for p in self.persisting.values())]
+        return any(e is not None and e.term == entry.term and e.number > entry.number for e in taken)
+
+    def conflicts_with_founding(self, entry: LogEntry) -> bool:
+        """Whether this would be a second founding."""
+        if entry.number != 1:
+            return False
+        mine = self.accepted or self.committed
+        return mine.number > 1 or (mine.number == 1 and disk_ids(mine.voters) != disk_ids(entry.voters))
+
+    def is_committed(self, now: float, entry: LogEntry) -> bool:
+        """Whether enough disks have it: of the voters after it as many as the fault model asks, of those before it a
+        majority, which meets every quorum of theirs."""
+        first = entry.number == 1 and not self.committed.number and entry.term == 1
+        losses = len(entry.voters) - 1 if first else self.losses
+        before = entry.previous_voters if entry.number > self.committed.number else []
+        if before and not has_majority(before, self.have):
+            return False
+        live = {d for d, at in self.heard_at.items() if now - at < ELECTION_TIMEOUT} | {self.me.disk}
+        counted = self.voter_changes.counted(entry.voters, self.have, live, losses)
+        return has_commit_quorum(entry.voters, counted, losses)
