--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -15,6 +15,7 @@
 from ..configuration.document import read
 from ..consensus.client_calls import call_timeout
 from ..consensus.messages import Action, Commit, Persist, ReplicaRole, Reply, Send, VotersChanged
+from ..consensus.quorum import Place
 from ..consensus.replica import Replica
 from ..consensus.store import Store
 from ..control_api.desk import Call, ControlApi, Handler, refuse, say
@@ -56,11 +57,17 @@
         self.me = Voter(disk=self.store.disk, name=boot.name, ip=boot.ip, port=self.node.port)
         founders = [(ip, self.node.port) for ip, _ in boot.seeds]
         self.replica = Replica(
-            self.me, founders, boot.bootstrap, boot.losses, self.loop.time(), self.store.vote, self.store.change
+            self.me,
+            founders,
+            boot.bootstrap,
+            boot.fault_model.hosts,
+            self.loop.time(),
+            self.store.vote,
+            self.store.change,
         )
         self.links = ConsensusLinks(self.node, self.me, self.store.change)
         self.known_role = self.replica.role
-        self.endpoints = CoreEndpointApi(self.node, Announcer(self.node, boot.losses))
+        self.endpoints = CoreEndpointApi(self.node, Announcer(self.node, boot.fault_model.hosts))
         self.calls: dict[int, asyncio.Future[tuple[int, bytes]]] = {}
         self.number = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -195,10 +202,13 @@
         self.work()
 
     def on_news(self, record: Record) -> None:
-        """Where members may be."""
+        """Where members may be, and what of the core may be lost at once."""
         if record.kind == NODE:
             nodes = [NodeInfo.FromString(r.body) for r in self.node.gossip.records.all(NODE) if r.rank < 2]
-            self.replica.known = [(b.ip, b.port) for b in nodes if b.role == CONTROL]
+            core = [n for n in nodes if n.role == CONTROL]
+            self.replica.known = [(n.ip, n.port) for n in core]
+            places = [Place(n.zone, self.boot.regions.get(n.zone, "")) for n in core]
+            self.replica.losses = self.boot.fault_model.losses(places)
 
     # --- calls of operators ---
 
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -94,7 +94,7 @@
         self.beat_at = -1e9  # when the endpoint was last heard
         self.beat_seq = 0
         """Of its beats that came here, the highest number."""
-        self.announcer = Announcer(self.node, boot.losses)
+        self.announcer = Announcer(self.node, boot.fault_model.hosts)
         self.ending = False
         self.told_ready = False
         self.stale: set[str] = set()
