A process that was cut off or stood still catches up before it counts as in touch

Late answers are taken now; others are asked beside the first after 0.6 s, then after twice as long each time, three at most (configuration/handout.py, pure; roles/handout.py). - A peer that is behind kept each fetch, up to 1024, and answered all of them with the whole text at once (30 asked, 30 texts). One for each link now, for 5 s; where too many wait the asker is told so at once. - One that left and came back with a clock set back by more than it was away was not told of its former record once that had faded. - Endpoints whose sidecar went for good with them were held for ever; they are told as gone once it has been forgotten for 60 s (membership/orphans.py). - An endpoint that names a sidecar and doesn't beat there (told anew by one that was cut off until its end was forgotten) stayed listed: its sidecar ends it. - A sidecar that woke judged its endpoint's silence by the time it stood still. - "Gone" said by others of an endpoint that beats: refuted at once, not with its next beat. Also: the newest version goes with the first word after a silence and with digests to seeds; calls to seeds are spread over the 2 s.

Ruled out: versions that go back (ActiveConfiguration refuses, its test holds on the old code, too); uncommitted entries handed out (only Commit puts one in force); 404 before a configuration is known (it is 503).

--- /dev/null
+++ b/tests/mesh/test_configuration_handout.py
@@ -0,0 +1,168 @@
+"""How a configuration comes from one process to another: late answers, peers that are behind, starts with nobody."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from mesh.cluster import Mesh, config, run, until
+from zinclever.mesh.configuration.handout import (
+    ABANDONED,
+    FIRST_PATIENCE,
+    MOST_ASKED,
+    MOST_PATIENCE,
+    MOST_WAITING,
+    WAITS,
+    Inquiry,
+    Waiting,
+)
+from zinclever.mesh.roles.node import Node
+from zinclever.mesh.roles.sidecar import Sidecar
+from zinclever.mesh.transport.links import Link
+from zinclever.mesh.transport.mesh_pb2 import Fetch, Frame
+
+SLOW = 0.9  # s that an answer takes: longer than the first peer is waited for
+
+
+def answer_late(node: Node) -> None:
+    """Fetches at this process are answered after SLOW, as over a link of a few Mbit/s."""
+    answer = node.frames["fetch"]
+
+    def late(link: Link, frame: Frame) -> None:
+        node.loop.call_later(SLOW, answer, link, frame)
+
+    node.frames["fetch"] = late
+
+
+class First(unittest.TestCase):
+    def test_the_teller_is_asked_first_then_others_beside_it(self) -> None:
+        inquiry = Inquiry()
+        peers = ["a", "b", "c", "d"]
+        asked = [inquiry.choose(0.0, "c", peers, min) for _ in range(MOST_ASKED + 1)]
+        self.assertEqual(asked, ["c", "a", "b", None])
+
+    def test_no_peer_is_asked_twice_at_once(self) -> None:
+        inquiry = Inquiry()
+        self.assertEqual(inquiry.choose(0.0, "a", ["a"], min), "a")
+        self.assertIsNone(inquiry.choose(1.0, "a", ["a"], min))
+        inquiry.answered("a")
+        self.assertEqual(inquiry.choose(1.0, "a", ["a"], min), "a")
+
+    def test_who_never_answers_is_forgotten(self) -> None:
+        inquiry = Inquiry()
+        peers = ["a", "b", "c"]
+        for _ in peers:
+            inquiry.choose(0.0, "", peers, min)
+        self.assertIsNone(inquiry.choose(ABANDONED - 0.1, "", peers, min))
+        self.assertEqual(inquiry.choose(ABANDONED, "", peers, min), "a")
+
+    def test_patience_doubles_until_the_version_is_there(self) -> None:
+        inquiry = Inquiry()
+        waits = [inquiry.waits() for _ in range(6)]
+        self.assertEqual(waits, [FIRST_PATIENCE * 2**n for n in range(4)] + [MOST_PATIENCE] * 2)
+        inquiry.satisfied()
+        self.assertEqual(inquiry.waits(), FIRST_PATIENCE)
+
+    def test_waiting_is_bounded_in_number_and_time(self) -> None:
+        waiting: Waiting[int, str] = Waiting()
+        for n in range(MOST_WAITING):
+            self.assertTrue(waiting.add(0.0, n, "old"))
+        self.assertFalse(waiting.add(1.0, MOST_WAITING, "one too many"))
+        self.assertTrue(waiting.add(1.0, 7, "newer on the same link"))
+        self.assertTrue(waiting.add(WAITS, MOST_WAITING, "there is room again"))
+        self.assertEqual(waiting.take(WAITS), [(7, "newer on the same link"), (MOST_WAITING, "there is room again")])
+        self.assertEqual(waiting.take(WAITS), [])
+
+
+class Coming(unittest.TestCase):
+    def test_a_late_answer_is_taken(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                for node in (m.control.node, *(f.node for f in m.sidecars)):
+                    answer_late(node)
+                self.assertEqual((await m.put(config("one", "two", generation=2), 1))[0], 200)
+                began = m.control.loop.time()
+                await until(lambda: all(f.node.active.generation == 2 for f in m.sidecars))
+                self.assertLess(m.control.loop.time() - began, 2 * SLOW)
+
+        run(test)
+
+    def test_a_peer_that_is_behind_answers_each_asker_once(self) -> None:
+        """However often it was asked meanwhile: a text of 1 MB thirty times would hold up a link for minutes."""
+
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                active = m.control.node.active
+                line = m.sidecars[0].node.line((m.core, m.port + 1))
+                answers: list[Frame | None] = []
+                for _ in range(30):
+                    line.call(Frame(fetch=Fetch(number=active.number + 1)), answers.append)
+                done: list[Frame | None] = []
+                line.call(Frame(fetch=Fetch(number=1)), done.append)
+                await until(lambda: done)  # so all the others have come, too
+                m.control.node.in_force(active.number + 1, 2, active.text.replace(b'"Generation":1', b'"Generation":2'))
+                done.clear()
+                line.call(Frame(fetch=Fetch(number=1)), done.append)
+                await until(lambda: done)
+                self.assertEqual(len(answers), 1)
+
+        run(test)
+
+    def test_one_that_is_asked_by_too_many_says_so(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                link = mock.create_autospec(Link, instance=True)
+                with mock.patch.object(m.control.node.handout.waiting, "add", return_value=False):
+                    m.control.node.handout.on_fetch(link, Frame(stream=9, fetch=Fetch(number=99)))
+                (sent,) = link.send.call_args.args
+                self.assertEqual((sent.stream, sent.fetched.number), (9, 0))
+
+        run(test)
+
+
+class CutOff(unittest.TestCase):
+    def test_a_sidecar_that_starts_with_nobody_promises_that_nothing_ran(self) -> None:
+        """It knows no configuration: it isn't ready, and 404 would say that a route is not there."""
+
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                started = m.sidecars.pop()
+                for server in started.servers:
+                    server.close()
+                started.node.stop()
+                nobody = [f"127.77.0.9:{m.port + 2}"]
+                new = Sidecar(m.boot(m.ips[1], "forager", AppAddr=m.apps[1].address, Target="two", SeedNodes=nobody))
+                await new.start()
+                m.sidecars.append(new)
+                with mock.patch.object(new.node.gossip_socket, "transport", None):
+                    self.assertEqual((await m.call(f"{m.ips[1]}:{m.port + 3}", "GET", "/v1/ready"))[0], 503)
+                    self.assertEqual((await m.ask("/one/safe/x", at=1))[0], 503)
+
+        run(test)
+
+    def test_a_peer_that_is_behind_takes_nothing_back(self) -> None:
+        """What was in force once in this life stays so: an older version, from whomever, changes nothing and is told
+        to nobody."""
+
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                old = m.control.node.active.text
+                number = m.control.node.active.number
+                self.assertEqual((await m.put(config("one", "two", generation=2), 1))[0], 200)
+                await until(lambda: all(f.node.active.generation == 2 for f in m.sidecars))
+                node = m.sidecars[0].node
+                record = node.gossip.records.get(3, "config")
+                node.in_force(number, 1, old)
+                self.assertEqual(node.active.generation, 2)
+                self.assertEqual(node.gossip.records.get(3, "config"), record)
+
+        run(test)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/mesh/test_endpoint_calls.py
+++ b/tests/mesh/test_endpoint_calls.py
@@ -178,7 +178,7 @@
                 app, sidecar = m.apps[0], m.sidecars[0]
                 for _ in range(5):  # they change nothing, so that nobody else hears of them
                     self.assertEqual(await m.beat(0), 200)
-                sidecar.end(app.id)
+                sidecar.endpoint.end(app.id)
                 app.seq -= 2
                 self.assertEqual(await m.beat(0), 200)  # it was under way for long
                 self.assertFalse(sidecar.keeper.open)
@@ -195,7 +195,7 @@
                 await m.serve()
                 app, sidecar = m.apps[0], m.sidecars[0]
                 self.assertEqual(await m.beat(0, "draining"), 200)
-                sidecar.end(app.id)
+                sidecar.endpoint.end(app.id)
                 self.assertEqual(await m.beat(0), 200)
                 self.assertFalse(sidecar.keeper.open)
                 self.assertEqual(await m.beat(0, "draining"), 200)
@@ -203,6 +203,56 @@
 
         run(test)
 
+    def test_a_sidecar_that_stood_still_hears_its_endpoint_before_it_judges(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                sidecar, app = m.sidecars[0], m.apps[0]
+                for standing in (20.0, 0.0):  # for which the process stood still; else the endpoint was silent
+                    sidecar.endpoint.beat_at -= 20.0
+                    sidecar.endpoint.looked_at -= standing
+                    sidecar.endpoint.look()
+                    self.assertEqual(sidecar.keeper.endpoint, app.id if standing else "")
+
+        run(test)
+
+    def test_a_sidecar_refutes_that_its_endpoint_is_gone(self) -> None:
+        """The others heard nothing from here for long: its next beat is not waited for."""
+
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                for _ in range(3):
+                    self.assertEqual(await m.beat(0), 200)
+                known = held(m, m.apps[0])
+                assert known is not None
+                gone = Record(kind=2, id=known.id, life=known.life, seq=known.seq, rank=GONE, body=known.body)
+                m.control.node.tell(gone)
+                await until(lambda: (r := held(m, m.apps[0])) is not None and r.rank == READY)
+                self.assertTrue(m.sidecars[0].keeper.open)
+
+        run(test)
+
+    def test_an_endpoint_that_is_not_on_the_machine_it_is_said_to_be_on(self) -> None:
+        """Its end was forgotten by all but one that was cut off meanwhile and tells of it anew."""
+
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                known = held(m, m.apps[0])
+                assert known is not None
+                m.control.node.tell(Record(kind=2, id="i-long-gone", seq=9, body=known.body))
+                sidecar = m.sidecars[0]
+                await until(lambda: "i-long-gone" in sidecar.endpoint.claims)
+                self.assertEqual(await m.beat(0), 200)
+                sidecar.endpoint.claims["i-long-gone"] -= 20.0
+                sidecar.endpoint.look()
+                records = m.control.node.gossip.records
+                await until(lambda: (r := records.get(2, "i-long-gone")) is not None and r.rank == GONE)
+                self.assertTrue(sidecar.keeper.open)
+
+        run(test)
+
     @params(
         ("a drain", None, (5, DRAINING), (5, DRAINING, 0)),
         ("a late drain is one", endpoint(seq=9, life=2), (5, DRAINING), (9, DRAINING, 2)),
--- a/tests/mesh/test_gossip.py
+++ b/tests/mesh/test_gossip.py
@@ -9,11 +9,12 @@
 from mesh.cases import params
 from zinclever.mesh.membership import gossip
 from zinclever.mesh.membership.gossip import Gossip, Standing
-from zinclever.mesh.membership.records import FADES, FORGOTTEN, NODE, Records
+from zinclever.mesh.membership.records import CONFIG, FADES, FORGOTTEN, NODE, VERSION, Records
 from zinclever.mesh.model.field import Field, endpoint
-from zinclever.mesh.transport.mesh_pb2 import EndpointInfo, GossipMessage, NodeInfo, Record
+from zinclever.mesh.transport.mesh_pb2 import EndpointInfo, GossipMessage, NodeInfo, Record, Version
 
 DRAIN_WITHIN = 2.0  # s, by the rules
+IN_TOUCH = 3.0  # s after which a machine that was cut off or stood still counts as in touch, by the rules
 
 
 def met(count: int, **more: float) -> Field:
@@ -146,6 +147,77 @@
         self.assertFalse(a.differing(b.digest()))
 
 
+def version(number: int) -> Record:
+    body = Version(number=number, generation=number).SerializeToString()
+    return Record(kind=VERSION, id=CONFIG, life=number, body=body)
+
+
+def cut(f: Field, side: list[str]) -> None:
+    others = [n for n in f.names if n not in side]
+    f.cut = {(a, b) for a in side for b in others} | {(b, a) for a in side for b in others}
+
+
+def until_caught_up(f: Field, news: list[Record]) -> float:
+    """s until everybody knows all of it."""
+    return sum(f.until_all_know(r) for r in news)
+
+
+class BackAgain(unittest.TestCase):
+    """What was said while some were cut off or stood still is known to them before they count as in touch."""
+
+    @params((15, 1, 20.0), (15, 5, 20.0), (15, 5, 70.0), (70, 23, 13.0))
+    def test_after_a_cut(self, count: int, most: int, span: float) -> None:
+        f = met(count, loss=0.02)
+        f.tell("b1", version(1))
+        for n in range(2):
+            f.tell("b1", endpoint(f"e{n}"))
+        f.run(3.0)
+        cut(f, f.names[-most:])
+        f.run(1.0)
+        departure, drain = endpoint("e0", seq=2**62, rank=2), endpoint("e1", seq=5, rank=1)
+        f.tell("b1", departure)  # it has faded from all digests by the end of the cut
+        f.run(span - 2.0)
+        f.tell("b1", version(2))
+        f.tell("b1", drain)
+        f.run(1.0)
+        f.cut.clear()
+        news = [version(2), drain, departure] if span < FORGOTTEN else [version(2), drain]
+        self.assertLess(until_caught_up(f, news), IN_TOUCH)
+
+    @params((1.5, 9999), (5.0, 9999), (20.0, 9999), (20.0, 20))
+    def test_after_a_standstill(self, span: float, kept: int) -> None:
+        """``kept``: datagrams that its kernel has room for meanwhile, the oldest."""
+        f = met(15, loss=0.02)
+        f.tell("b1", version(1))
+        f.tell("b1", endpoint("e1"))
+        f.run(3.0)
+        stood = f.names[-3:]
+        for name in stood:
+            f.freeze(name)
+        f.run(span - 1.0)
+        f.tell("b1", version(2))
+        f.tell("b1", endpoint("e1", seq=5, rank=1))
+        f.run(1.0)
+        for name in stood:
+            del f.frozen[name][kept:]
+            f.thaw(name)
+        self.assertLess(until_caught_up(f, [version(2), endpoint("e1", seq=5, rank=1)]), IN_TOUCH)
+
+    def test_the_first_word_after_a_silence_is_answered_with_the_newest_version(self) -> None:
+        """Not only once digests have been compared."""
+        f = met(5)
+        f.tell("b1", version(1))
+        f.run(2.0)
+        cut(f, ["b4"])
+        f.run(10.0)
+        s = f.gossips["b2"]
+        self.assertEqual(s.standing("b4"), Standing.DEAD)
+        s.out.clear()
+        s.hear(f.now, GossipMessage(sender="b4", life=1, ping=7), f.address("b4"))
+        told = [r.kind for _, w in s.out for r in w.news]
+        self.assertEqual(told, [NODE, VERSION])
+
+
 class EachOther(unittest.TestCase):
     def test_a_death_is_known_to_all(self) -> None:
         f = met(15)
@@ -238,6 +310,31 @@
         f.run(6.0)
         self.assertEqual({s.standing("b5") for s in f.gossips.values()}, {Standing.LIVE})
 
+    @params(3.0, 20.0, 40.0)
+    def test_one_that_left_and_comes_back_with_a_clock_set_back(self, away: float) -> None:
+        """Its end is in no digest any more, but is remembered still."""
+        f = met(9)
+        f.gossips["b5"].leave(f.now)
+        f.flush("b5")
+        f.run(0.5)
+        del f.gossips["b5"]
+        f.run(away)
+        f.add("b5", life=0)
+        f.run(0.6)
+        self.assertEqual({s.standing("b5") for s in f.gossips.values()}, {Standing.LIVE})
+
+    def test_endpoints_go_with_a_sidecar_that_is_gone_for_good(self) -> None:
+        f = met(6)
+        info = EndpointInfo(service="one", keeper="b5").SerializeToString()
+        f.tell("b5", Record(kind=2, id="e1", seq=1, body=info))
+        f.tell("b5", Record(kind=2, id="e2", seq=1, body=EndpointInfo(keeper="b1").SerializeToString()))
+        f.run(1.0)
+        del f.gossips["b5"]
+        f.run(10.0 + 3 * FORGOTTEN)
+        for s in f.gossips.values():
+            self.assertEqual([r.id for r in s.records.all(2)], ["e2"])
+            self.assertEqual(s.orphans.since, {})
+
     def test_half_killed_at_once(self) -> None:
         f = met(20)
         for n in f.names[10:]:
--- a/zinclever/mesh/membership/gossip.py
+++ b/zinclever/mesh/membership/gossip.py
@@ -7,14 +7,17 @@
 
 from __future__ import annotations
 
-import enum
 import math
 from collections.abc import Iterable
 from random import Random
 
 from ...core.protocol import Address
 from ..transport.mesh_pb2 import GossipMessage, NodeInfo, Record, RecordVersion
-from .records import ENDPOINT, GONE, MOST_RECORDS, NODE, VERSION, Key, Records, key, order, sound
+from .orphans import Orphans
+from .pending import Probe, Receipt
+from .records import GONE, MOST_RECORDS, NODE, Key, Records, key, order, sound
+from .standing import Standing as Standing
+from .standing import urgent
 
 FANOUT = 3  # peers that hot news goes to at a time
 ROUNDS = 2  # times that news is passed on by each: who is missed by all hears of it by digests, within a second or two
@@ -41,39 +44,6 @@
 AGAIN = 0.15  # s after which news that wants a receipt is told again
 
 
-class Standing(enum.IntEnum):
-    """What is thought of a process: the rank of its record."""
-
-    LIVE = 0
-    SUSPECT = 1
-    DEAD = 2
-    LEFT = 3
-
-
-class Probe:
-    __slots__ = ("asked", "at", "name", "through")
-
-    def __init__(self, name: str, at: float) -> None:
-        self.name, self.at, self.asked = name, at, False
-        self.through: list[str] = []
-        """Others that were asked to try."""
-
-
-class Receipt:
-    """News that is to be known to have arrived."""
-
-    __slots__ = ("at", "owed", "received", "record")
-
-    def __init__(self, record: Record, owed: set[str]) -> None:
-        self.record, self.owed, self.at = record, owed, -math.inf
-        self.received: set[str] = set()
-
-
-def urgent(r: Record) -> bool:
-    """Whether others have to know it within a bound."""
-    return r.kind == VERSION or (r.kind == ENDPOINT and r.rank > 0) or (r.kind == NODE and r.rank == Standing.LEFT)
-
-
 class Gossip:
     """Feed it :meth:`tick` each TICK, :meth:`hear` with what comes, and :meth:`tell` with what is new here."""
 
@@ -88,6 +58,7 @@
         self.doubts = 0
         """Of itself: it rises with each probe that nobody answers, and falls with each that is answered."""
         self.records = Records()
+        self.orphans = Orphans()
         self.out: list[tuple[Address, GossipMessage]] = []
         self.changed: list[tuple[Record, str]] = []
         """Records that are new here since this was last emptied, and who told them."""
@@ -103,7 +74,8 @@
         self.receipts: dict[int, Receipt] = {}
         self.heard: dict[str, float] = {}
         self.numbers = 0
-        self.began = self.ticked_at = self.probed_at = self.seeded_at = now
+        self.began = self.ticked_at = self.probed_at = now
+        self.seeded_at = now - SEED_EACH * rng.random()  # those that start at once don't all call at once
         self.digested_at = -math.inf
         self.met = False
         """Another has answered a digest of ours, or told us news."""
@@ -228,6 +200,8 @@
             self.favours.clear()
             self.suspects = {name: now for name in self.suspects}
         self.records.age(now)
+        for record in self.orphans.look(now, self.records):
+            self.tell(now, record)
         self.pass_on(now)
         self.remind(now)
         self.judge(now)
@@ -252,12 +226,14 @@
             mine = self.address(self.me)
             for seed in self.seeds if not self.met else [self.rng.choice(self.seeds)]:
                 if seed != mine:
-                    other = GossipMessage(sums=digest.sums, news=[self.records.held[(NODE, self.me)]])
+                    news = [self.records.held[(NODE, self.me)], *self.records.newest_version()]
+                    other = GossipMessage(sums=digest.sums, news=news)
                     self.send_to(seed, other)
             gone = [r.id for r in self.records.all(NODE) if r.rank == Standing.DEAD]
             if gone:
                 name = self.rng.choice(gone)
-                self.send(name, GossipMessage(sums=digest.sums, news=[self.records.held[(NODE, name)]]))
+                news = [self.records.held[(NODE, name)], *self.records.newest_version()]
+                self.send(name, GossipMessage(sums=digest.sums, news=news))
 
     def probe(self, now: float) -> None:
         """The next of the others in turn."""
@@ -329,7 +305,11 @@
         if self.records.get(NODE, name) is not None:  # whoever else writes is not remembered
             self.heard[name] = now
         if w.receipt:
-            self.confirm(name, w)
+            above = self.records.above(w.news)
+            if above:  # the news has changed nothing here: the teller hears of what has
+                self.send_news(name, above)
+            elif above is not None:
+                self.send(name, GossipMessage(received=w.receipt))
         if w.received and w.received in self.receipts:
             self.receipts[w.received].received.add(name)
         if w.ping:
@@ -341,9 +321,10 @@
             probe = self.probes.pop(w.ack, None)
             if probe is not None and probe.name != name:
                 self.heard[probe.name] = now
-        mine = self.records.get(NODE, name)
-        if mine is not None and mine.rank in (Standing.SUSPECT, Standing.DEAD) and w.life >= mine.life:
-            self.send(name, GossipMessage(news=[mine]))  # it hears what is thought of it, and may refute that
+        known = self.records.get(NODE, name)
+        if known is not None and (w.life < known.life or known.rank in (Standing.SUSPECT, Standing.DEAD)):
+            # It hears what is thought of it, and may refute that; also of an earlier life with a clock that was ahead.
+            self.send(name, GossipMessage(news=[known, *self.records.newest_version()]))
         if w.root == self.records.root():
             self.met = True
         elif w.root:
@@ -362,21 +343,6 @@
             self.met = True
             self.pass_on(now)
 
-    def confirm(self, name: str, w: GossipMessage) -> None:
-        """A receipt for news that is held here, or that an end known here has overtaken. Where something else stands
-        above it the teller is told of that instead: its news has changed nothing here."""
-        above: list[Record] = []
-        for r in w.news:
-            held = self.records.held.get(key(r))
-            if held is None:
-                return
-            if held.rank < r.rank:
-                above.append(held)
-        if above:
-            self.send_news(name, above)
-        else:
-            self.send(name, GossipMessage(received=w.receipt))
-
     def take(self, now: float, r: Record, teller: str) -> bool:
         """A record from another; whether it is new here."""
         k = key(r)
--- a/zinclever/mesh/membership/records.py
+++ b/zinclever/mesh/membership/records.py
@@ -11,6 +11,7 @@
 from ..transport.mesh_pb2 import EndpointInfo, NodeInfo, RangeDigest, Record, RecordVersion, Version
 
 NODE, ENDPOINT, VERSION = 1, 2, 3
+CONFIG = "config"  # id of the one record of kind VERSION
 RANGES = 64
 MOST_RECORDS = 100_000  # that are held: a mesh has a few for each machine
 MOST_RECORD = 1000  # bytes of one's body
@@ -76,6 +77,23 @@
     def all(self, kind: int) -> list[Record]:
         return [r for (k, _), r in self.held.items() if k == kind]
 
+    def newest_version(self) -> list[Record]:
+        """The record of the newest configuration known of: one that was cut off or stood still is told of it first."""
+        record = self.held.get((VERSION, CONFIG))
+        return [record] if record is not None else []
+
+    def above(self, news: Iterable[Record]) -> list[Record] | None:
+        """What is held instead of these, where it doesn't tell of an end that they tell of; none where each of them
+        is known here, or an end beyond it. None where one isn't known at all, as there is no room for it."""
+        found: list[Record] = []
+        for r in news:
+            held = self.held.get(key(r))
+            if held is None:
+                return None
+            if held.rank < r.rank:
+                found.append(held)
+        return found
+
     def put(self, now: float, r: Record) -> bool:
         """Take a record in; whether it is newer than what was held."""
         k = key(r)
@@ -152,5 +170,7 @@
             for k in self.keys[n]
             if k not in told or order(told[k]) < order(self.held[k])
         ]
+        # An end that is in no digest any more is told to whoever has missed it: it was cut off meanwhile.
+        lacks += [self.held[k] for k, h in told.items() if k in self.faded and order(h) < order(self.held[k])]
         wanted = [h for k, h in told.items() if k not in self.held or order(self.held[k]) < order(h)]
         return lacks, wanted
--- /dev/null
+++ b/zinclever/mesh/roles/handout.py
@@ -0,0 +1,138 @@
+"""How the configuration in force comes from one process to another: by a fetch over their link."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from ..configuration.active import ActiveConfiguration, unpack
+from ..configuration.handout import Inquiry, Waiting
+from ..errors import MeshError
+from ..membership.gossip import Gossip
+from ..membership.records import CONFIG, VERSION
+from ..transport.links import Lines, Link
+from ..transport.mesh_pb2 import Fetch, FetchReply, Frame, Record, Version
+
+log = logging.getLogger(__name__)
+
+AGAIN = 0.05  # s after an answer that brought nothing, before another peer is asked
+NOBODY = 0.6  # s until it is looked again whether there is a peer to ask
+
+
+class Handout:
+    """Owns what this process has asked others for, and who waits here for a version."""
+
+    def __init__(
+        self, gossip: Gossip, lines: Lines, active: ActiveConfiguration, tell: Callable[[Record], None]
+    ) -> None:
+        """``tell``: others are told of a record at once."""
+        self.gossip, self.lines, self.active, self.tell = gossip, lines, active, tell
+        self.loop = asyncio.get_running_loop()
+        self.timer: asyncio.TimerHandle | None = None
+        self.inquiry = Inquiry()
+        self.waiting: Waiting[Link, Frame] = Waiting()
+        self.streams: dict[str, int] = {}
+        """By peer, the stream of the fetch that is out to it."""
+
+    # --- this process asks ---
+
+    def newer(self) -> Record | None:
+        """The record of a version that is known of and not in force here."""
+        record = self.gossip.records.get(VERSION, CONFIG)
+        return record if record is not None and record.life > self.active.number else None
+
+    def look(self, teller: str = "") -> None:
+        """Ask for the newest version, where it isn't in force here: who told of it, else any peer."""
+        record = self.newer()
+        if record is None:
+            if self.timer is not None:
+                self.timer.cancel()
+            for peer in self.inquiry.satisfied():
+                self.end(peer)
+            return
+        peers = self.gossip.peers()
+        chosen = self.inquiry.choose(self.loop.time(), teller, peers, self.gossip.rng.choice)
+        if chosen is not None:
+            self.look_in(self.inquiry.waits())
+            self.ask(chosen, record.life)
+        else:
+            self.look_in(NOBODY)
+
+    def look_in(self, span: float) -> None:
+        """One look is due at a time."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(span, self.look)
+
+    def ask(self, peer: str, number: int) -> None:
+        address = self.gossip.address(peer)
+        assert address is not None  # it is one of the peers
+        stream = 0
+        done = False
+
+        def over(frame: Frame | None) -> None:
+            nonlocal done
+            if done:
+                return
+            done = True
+            if stream:
+                self.lines.to(address).over(stream)
+            self.streams.pop(peer, None)
+            self.inquiry.answered(peer)
+            brought = frame is not None and frame.fetched.number >= number and self.take(frame.fetched)
+            self.look_in(0.0 if brought else AGAIN)
+
+        stream = self.lines.to(address).call(Frame(fetch=Fetch(number=number, packs=True)), over)
+        if not done:
+            self.streams[peer] = stream
+
+    def end(self, peer: str) -> None:
+        """Its answer is not needed any more."""
+        stream, address = self.streams.pop(peer, None), self.gossip.address(peer)
+        if stream is not None and address is not None:
+            self.lines.to(address).over(stream)
+
+    def take(self, fetched: FetchReply) -> bool:
+        """A configuration from a peer; whether it can be read."""
+        try:
+            text = unpack(fetched.packed) if fetched.packed else fetched.text
+        except MeshError as wrong:
+            log.error("a configuration can't be unpacked", extra={"code": wrong.code})
+            return False
+        return self.in_force(fetched.number, fetched.generation, text)
+
+    # --- others ask ---
+
+    def on_fetch(self, link: Link, frame: Frame) -> None:
+        """A peer asks for a version: at once where it is in force here, else once it is; at once that there is none
+        where too many wait."""
+        if self.active.number >= frame.fetch.number and self.active.text:
+            fetched = FetchReply(number=self.active.number, generation=self.active.generation)
+            if frame.fetch.packs:
+                fetched.packed = self.active.pack()
+            if not fetched.packed:
+                fetched.text = self.active.text
+            link.send(Frame(stream=frame.stream, fetched=fetched))
+        elif not self.waiting.add(self.loop.time(), link, frame):
+            link.send(Frame(stream=frame.stream, fetched=FetchReply()))
+
+    # --- what is in force ---
+
+    def in_force(self, number: int, generation: int, text: bytes) -> bool:
+        """A committed configuration has come here by whatever way: it holds from now on, and others may ask for it.
+        False where it can't be read."""
+        try:
+            if self.active.take(number, generation, text):
+                log.info(
+                    "configuration in force",
+                    extra={"code": "CONFIG_IN_FORCE", "number": number, "generation": generation},
+                )
+        except MeshError as wrong:
+            log.error("a committed configuration can't be read", extra={"code": wrong.code, "field": wrong.field})
+            return False
+        body = Version(number=number, generation=generation).SerializeToString()
+        self.tell(Record(kind=VERSION, id=CONFIG, life=number, body=body))
+        for link, frame in self.waiting.take(self.loop.time()):
+            self.on_fetch(link, frame)
+        return True
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable
 from functools import partial
 
 import orjson
@@ -36,26 +35,13 @@
 )
 from ..verdict import Verdict
 from .boot import Boot
-from .endpoint_api import Announcer
-from .endpoint_calls import (
-    DRAINING,
-    GONE,
-    LAST,
-    READY,
-    announcement,
-    changes,
-    departure,
-    is_final,
-    read_beat,
-    with_keeper,
-)
+from .endpoint_calls import GONE, READY
 from .node import SIDECAR, Node
+from .own_endpoint import OwnEndpoint
 
 log = logging.getLogger(__name__)
 
-MISSED = 3.4  # beats after which an endpoint that says nothing is taken for gone
 COUNT_EACH = 10.0  # s between two lines of counters
-LOOK = 0.5  # s between two looks at it
 MOST_BODY = 80 << 20  # bytes of a load
 MOST_COMING = 0.25  # of the memory: bodies that are on their way in over links
 SERVES_ON = 2.4  # s after SIGTERM for which clients still come: the platform asks once a second, and wants two misses
@@ -83,7 +69,7 @@
         self.node = Node(boot, SIDECAR)
         self.loop, self.host = self.node.loop, self.node.host
         self.keeper = Keeper(self.host, self.node.descriptors)
-        self.keeper.refused = self.on_refused
+        self.endpoint = OwnEndpoint(boot, self.node, self.keeper)
         self.flights = Flights(self.make_flight)
         self.egress = Egress(
             self.node.descriptors, self.host, self.node.active, self.flights, boot.service, self.keeper.runs
@@ -91,10 +77,6 @@
         self.desks: list[tuple[Desk, str]] = [(self.egress, "Egress")]
         self.servers: list[asyncio.Server] = []
         self.incoming: dict[tuple[Link, int], Incoming] = {}
-        self.beat_at = -1e9  # when the endpoint was last heard
-        self.beat_seq = 0
-        """Of its beats that came here, the highest number."""
-        self.announcer = Announcer(self.node, boot.losses)
         self.ending = False
         self.told_ready = False
         self.stale: set[str] = set()
@@ -109,8 +91,8 @@
         ready: Tree[Handler] = Tree()
         ready.add("GET /v1/ready", self.on_ready)
         calls: Tree[Handler] = Tree()
-        calls.add("POST /v1/endpoints/{id}/heartbeat", self.on_beat)
-        calls.add("POST /v1/endpoints/{id}/departure", self.on_departure)
+        calls.add("POST /v1/endpoints/{id}/heartbeat", self.endpoint.on_beat)
+        calls.add("POST /v1/endpoints/{id}/departure", self.endpoint.on_departure)
         calls.add("GET /v1/ready", self.on_ready)
         for name, tree in (("Readiness", ready), ("ControlPlane", calls)):
             self.desks.append((ControlApi(self.node.descriptors, self.host, tree), name))
@@ -119,7 +101,7 @@
             if name in boot.bind:
                 server = await self.loop.create_server(desk.connection, *boot.bind[name], backlog=BACKLOG)
                 self.servers.append(server)
-        self.look()
+        self.endpoint.look()
         self.loop.call_later(COUNT_EACH, self.count)
 
     # --- the platform ---
@@ -166,68 +148,6 @@
             desk.stop()
         self.node.stop()
 
-    # --- the endpoint beside this sidecar ---
-
-    def on_beat(self, call: Call) -> Answer | Awaitable[Answer]:
-        record = read_beat(call)
-        known = self.node.gossip.records.get(ENDPOINT, record.id)
-        with_keeper(record, self.node.name)
-        if record.rank != READY:
-            record = announcement(known, record)
-            self.hear_beat(record)
-            return self.announcer.acknowledge(record)
-        if known is not None and (is_final(known) or known.seq > record.seq):
-            return say(200)  # it leaves, or the beat is a late one
-        if known is not None and known.rank >= GONE and max(known.seq, self.beat_seq) >= record.seq:
-            return say(200)  # said before it was taken for gone
-        if changes(known, record):
-            self.node.tell(record)
-        self.hear_beat(record)
-        return say(200)
-
-    def hear_beat(self, record: Record) -> None:
-        """An endpoint on this machine lives."""
-        if record.rank == READY and record.id != self.keeper.endpoint:
-            self.beat_seq = record.seq
-        self.adopt(record.id, record.rank, EndpointInfo.FromString(record.body))
-        if record.id == self.keeper.endpoint or self.beat_at < 0:
-            self.beat_at = self.loop.time()
-            self.beat_seq = max(self.beat_seq, record.seq)
-
-    def adopt(self, endpoint: str, rank: int, endpoint_info: EndpointInfo) -> None:
-        """What the keeper does by what is known of an endpoint here."""
-        if rank == READY:
-            old = self.keeper.endpoint
-            if old and old != endpoint:
-                self.end(old)
-            host, _, port = endpoint_info.address.rpartition(":")
-            address = self.boot.app or (host, int(port))
-            if endpoint != old or not self.keeper.open:
-                log.info("endpoint admitted", extra={"code": "ENDPOINT_READY", "endpoint": endpoint})
-            self.keeper.admit(endpoint, address, endpoint_info.slots)
-        elif endpoint == self.keeper.endpoint:
-            if self.keeper.open:
-                log.info("endpoint drains", extra={"code": "ENDPOINT_DRAINS", "endpoint": endpoint})
-            self.keeper.close()
-
-    async def on_departure(self, call: Call) -> Answer:
-        endpoint = call.captured[0]
-        if endpoint == self.keeper.endpoint:
-            self.keeper.forget()
-        known = self.node.gossip.records.get(ENDPOINT, endpoint)
-        return await self.announcer.acknowledge(announcement(known, departure(endpoint)))
-
-    def end(self, endpoint: str) -> None:
-        """An endpoint is taken for gone: a beat that it says after its last one shows that it lives, unless it has
-        said before that it leaves."""
-        known = self.node.gossip.records.get(ENDPOINT, endpoint)
-        heard = self.beat_seq if endpoint == self.keeper.endpoint else 0
-        if endpoint == self.keeper.endpoint:
-            self.keeper.forget()
-        if known is not None and known.rank < GONE:
-            seq = LAST if is_final(known) else max(known.seq, heard)
-            self.node.tell(Record(kind=ENDPOINT, id=endpoint, life=known.life, seq=seq, rank=GONE, body=known.body))
-
     def count(self) -> None:
         """A line of counters now and then: they say more than a line for each thing that happens."""
         self.loop.call_later(COUNT_EACH, self.count)
@@ -243,19 +163,6 @@
             },
         )
 
-    def look(self) -> None:
-        """Whether the endpoint still beats."""
-        self.loop.call_later(LOOK, self.look)
-        if self.keeper.endpoint and self.loop.time() - self.beat_at > MISSED * self.boot.beat:
-            log.info("endpoint fell silent", extra={"code": "ENDPOINT_SILENT", "endpoint": self.keeper.endpoint})
-            self.end(self.keeper.endpoint)
-
-    def on_refused(self) -> None:
-        """Nobody listens at the endpoint's address: it has crashed, or is not up yet."""
-        if self.keeper.endpoint:
-            log.info("endpoint refuses connections", extra={"code": "ENDPOINT_REFUSES"})
-            self.end(self.keeper.endpoint)
-
     # --- loads from other sidecars ---
 
     def on_load(self, link: Link, frame: Frame) -> None:
@@ -351,12 +258,7 @@
             endpoint_info = EndpointInfo.FromString(record.body)
             if endpoint_info.service:
                 self.stale.add(endpoint_info.service)
-            if endpoint_info.keeper == self.node.name and record.id != self.keeper.endpoint and record.rank == READY:
-                if not self.keeper.endpoint and self.beat_at < 0:  # told by others after a start of this process
-                    self.beat_at, self.beat_seq = self.loop.time(), record.seq
-                    self.adopt(record.id, record.rank, endpoint_info)
-            elif record.id == self.keeper.endpoint and record.rank >= DRAINING:
-                self.keeper.close()
+            self.endpoint.on_news(record, endpoint_info)
             self.refresh_soon()
         elif record.kind == NODE:
             self.stale.update(self.flights.flights)
