--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -4,18 +4,14 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import logging
-from collections.abc import Callable
 from pathlib import Path
 
 import orjson
 
 from ...core.protocol import read_address
 from ...http1.heads import Answer
-from ..configuration.document import read
-from ..consensus.client_calls import call_timeout
-from ..consensus.messages import Action, Commit, Persist, ReplicaRole, Reply, Send
+from ..consensus.messages import Action, Commit, Persist, Reply, Send
 from ..consensus.replica import Replica
 from ..consensus.store import Store
 from ..control_api.desk import Call, ControlApi, Handler, refuse, say
@@ -24,20 +20,17 @@
 from ..membership.gossip import Standing
 from ..membership.records import ENDPOINT, NODE
 from ..transport.links import Link
-from ..transport.mesh_pb2 import ControlCall, ControlReply, EndpointInfo, Frame, NodeInfo, Record, Voter
+from ..transport.mesh_pb2 import ControlCall, EndpointInfo, Frame, NodeInfo, Record, Voter
 from .boot import Boot
 from .endpoint_calls import GONE, LAST, READY, read_beat
 from .node import CONTROL, SIDECAR, Node
+from .operator_calls import OperatorCalls, hand_on
 
 log = logging.getLogger(__name__)
 
 TURN = 0.05  # s between two turns of the order
-FORWARDING_TIME = 0.2  # s by which a call may take longer than at the leader, to find it and to be handed on
-FIND_LEADER_INTERVAL = 0.05  # s between two looks at who leads
 EXPLAINED = 0.7  # s in which a sidecar says whether it remembers a request
 KNOWN_FOR = 0.8  # s in which news that was acknowledged has to be known to others
-LARGE = 64 * 1024  # bytes of a configuration from which on it is checked in a thread
-MAX_VERSION_DIGITS = 19  # of a version, so that it stays below 2 ** 64
 BACKLOG = 1024
 
 
@@ -58,20 +51,18 @@
             self.me, founders, boot.bootstrap, boot.losses, self.loop.time(), self.store.vote, self.store.change
         )
         self.known_role = self.replica.role
-        self.calls: dict[int, asyncio.Future[tuple[int, bytes]]] = {}
-        self.number = 0
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.operator_calls = OperatorCalls(self.node, self.replica, self.work)
         self.control_api: ControlApi | None = None
         self.server: asyncio.Server | None = None
         self.leader = False
         self.working = False
-        self.node.frames.update(consensus=self.on_consensus, ask=self.on_ask)
+        self.node.frames.update(consensus=self.on_consensus, ask=self.operator_calls.on_ask)
         self.node.news.append(self.on_news)
 
     async def start(self) -> None:
         tree: Tree[Handler] = Tree()
-        tree.add("POST /v1/config/replace", self.on_replace)
-        tree.add("GET /v1/config/read", self.on_read)
+        tree.add("POST /v1/config/replace", self.operator_calls.on_replace)
+        tree.add("GET /v1/config/read", self.operator_calls.on_read)
         for prefix in ("/v1/mesh", "/v1/hive"):  # the second: as the version before called it
             tree.add(f"GET {prefix}/who", self.on_who)
             tree.add(f"GET {prefix}/endpoints", self.on_endpoints)
@@ -97,7 +88,7 @@
         if self.control_api is not None:
             self.control_api.begin_drain()
         began = self.loop.time()
-        while self.calls and self.loop.time() - began < grace / 2:
+        while self.operator_calls.unanswered and self.loop.time() - began < grace / 2:
             await asyncio.sleep(0.02)
         self.replica.hand_over(self.loop.time())
         self.work()
@@ -158,9 +149,7 @@
             if entry.text:
                 self.node.in_force(entry.number, entry.generation, entry.text)
         elif isinstance(act, Reply):
-            waiting = self.calls.pop(act.call, None)
-            if waiting is not None and not waiting.done():
-                waiting.set_result((act.status, act.text))
+            self.operator_calls.answered(act)
 
     def on_saved(self, token: int, good: bool) -> None:
         self.replica.persisted(self.loop.time(), token, good)
@@ -172,106 +161,6 @@
             nodes = [NodeInfo.FromString(r.body) for r in self.node.gossip.records.all(NODE) if r.rank < 2]
             self.replica.known = [(b.ip, b.port) for b in nodes if b.role == CONTROL]
 
-    # --- calls of operators ---
-
-    def ask(self, begin: Callable[[int], None]) -> asyncio.Future[tuple[int, bytes]]:
-        """Ask the order something: its answer."""
-        self.number += 1
-        waiting: asyncio.Future[tuple[int, bytes]] = self.loop.create_future()
-        self.calls[self.number] = waiting
-        begin(self.number)
-        self.work()
-        return waiting
-
-    async def settle(self, ask: ControlCall) -> tuple[int, bytes]:
-        """Have the leader answer, here or elsewhere; 503 soon enough for the caller to go on to another member."""
-        until = self.loop.time() + call_timeout(len(ask.text)) + FORWARDING_TIME
-        while (left := until - self.loop.time()) > 0:
-            leader = self.replica.leader
-            voter = next((v for v in self.replica.voters() if v.disk == leader), None)
-            if self.replica.role is ReplicaRole.LEADER:
-                status, text = await self.settle_here(ask)
-            elif voter is not None:
-                status, text = await self.hand_on(voter, ask, left)
-            else:
-                await asyncio.sleep(FIND_LEADER_INTERVAL)
-                continue
-            if status != 503 or self.replica.leader == leader:
-                return status, text
-        return 503, b"no leader answers"
-
-    async def settle_here(self, ask: ControlCall) -> tuple[int, bytes]:
-        now = self.loop.time()
-        if ask.kind == "get":
-            return await self.ask(lambda n: self.replica.get(now, n))
-        configuration = read(ask.text, checked=True)  # by the member that took the call
-        digest = hashlib.blake2b(ask.text, digest_size=16).digest()
-        return await self.ask(lambda n: self.replica.put(now, n, ask.base, configuration.generation, ask.text, digest))
-
-    async def hand_on(self, voter: Voter, ask: ControlCall, within: float) -> tuple[int, bytes]:
-        """Ask another process, and wait for its answer for so many s."""
-        line = self.node.line((voter.ip, voter.port))
-        told: asyncio.Future[tuple[int, bytes]] = self.loop.create_future()
-
-        def answer(frame: Frame | None) -> None:
-            if not told.done():
-                told.set_result((frame.told.status, frame.told.text) if frame is not None else (503, b"link lost"))
-
-        stream = line.call(Frame(ask=ask), answer)
-        try:
-            async with asyncio.timeout(within):
-                return await told
-        except TimeoutError:
-            return 503, b"no answer in time"
-        finally:
-            line.over(stream)
-
-    def on_ask(self, link: Link, frame: Frame) -> None:
-        """A call that another member hands on."""
-        ask = ControlCall()
-        ask.CopyFrom(frame.ask)
-
-        async def run() -> None:
-            if self.replica.role is not ReplicaRole.LEADER:
-                status, text = 503, b"does not lead"
-            else:
-                try:
-                    status, text = await self.settle_here(ask)
-                except MeshError as wrong:
-                    status, text = 400, str(wrong).encode()
-            link.send(Frame(stream=frame.stream, told=ControlReply(status=status, text=text)))
-
-        task = self.loop.create_task(run())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def on_replace(self, call: Call) -> Answer:
-        base = call.headers.get("x-base-version", "")
-        if not base.isascii() or not base.isdecimal() or len(base) > MAX_VERSION_DIGITS:
-            wrong = MeshError("BASE_MISSING", "must be the version that this one builds on", "X-Base-Version")
-            return refuse(400, wrong)
-        # In a thread: a large one takes a second, and this member's word is waited for ten times in that.
-        large = len(call.body) > LARGE
-        configuration = await self.loop.run_in_executor(None, read, call.body) if large else read(call.body)
-        # As the text is kept: what is the same but for blanks and order is the same entry.
-        text = orjson.dumps(orjson.loads(call.body), option=orjson.OPT_SORT_KEYS)
-        status, why = await self.settle(ControlCall(kind="put", base=int(base), text=text))
-        if status == 200:
-            return say(200, {"Generation": configuration.generation})
-        return refuse(
-            status,
-            MeshError(
-                {412: "CONFIG_BASE", 400: "CONFIG_INVALID"}.get(status, "CONFIG_UNCLEAR"),
-                why.decode("utf-8", "replace"),
-            ),
-        )
-
-    async def on_read(self, call: Call) -> Answer:
-        status, text = await self.settle(ControlCall(kind="get"))
-        if status == 200:
-            return Answer(200, b"Content-Type: application/json\r\n", text)
-        return refuse(status, MeshError("CONFIG_UNKNOWN", text.decode("utf-8", "replace")))
-
     # --- what operators look at: as this member knows it, nobody else is asked ---
 
     def on_who(self, call: Call) -> Answer:
@@ -336,7 +225,7 @@
             Voter(ip=b.ip, port=b.port) for p in gossip.peers() if (b := gossip.node_info(p)) and b.role == SIDECAR
         ]
         ask = ControlCall(kind="explain", text=call.captured[0].encode())
-        answers = await asyncio.gather(*(self.hand_on(s, ask, EXPLAINED) for s in seats))
+        answers = await asyncio.gather(*(hand_on(self.node, s, ask, EXPLAINED) for s in seats))
         found = [orjson.loads(text) for status, text in answers if status == 200]
         silent = sum(status == 503 for status, _ in answers)
         if not found:
--- /dev/null
+++ b/zinclever/mesh/roles/operator_calls.py
@@ -0,0 +1,171 @@
+"""The calls of operators at a member of the core: read off the wire, answered by the leader, here or elsewhere.
+
+A call has its answer within a second, unless its configuration is large: the caller gives up after a second of silence,
+and a 503 that comes before lets it go on to another member at once. A 503 states nothing: the change may be committed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+
+import orjson
+
+from ...http1.heads import Answer
+from ..configuration.document import read
+from ..consensus.client_calls import call_timeout
+from ..consensus.messages import ReplicaRole, Reply
+from ..consensus.replica import Replica
+from ..control_api.desk import Call, refuse, say
+from ..errors import MeshError
+from ..transport.links import Link
+from ..transport.mesh_pb2 import ControlCall, ControlReply, Frame, Voter
+from .node import Node
+
+PUT, GET = "put", "get"  # kinds of calls
+FORWARDING_TIME = 0.2  # s by which a call may take longer than at the leader, to find it and to be handed on
+FIND_LEADER_INTERVAL = 0.05  # s between two looks at who leads
+LARGE = 64 * 1024  # bytes of a configuration from which on it is checked in a thread
+MAX_VERSION_DIGITS = 19  # of a version, so that it stays below 2 ** 64
+
+
+class OperatorCalls:
+    """Owns the calls that the replica has not answered yet. ``work`` carries out what the replica wants."""
+
+    def __init__(self, node: Node, replica: Replica, work: Callable[[], None]) -> None:
+        self.node, self.replica, self.work = node, replica, work
+        self.loop = node.loop
+        self.unanswered: dict[int, asyncio.Future[tuple[int, bytes]]] = {}
+        self.number = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def ask(self, begin: Callable[[int], None]) -> asyncio.Future[tuple[int, bytes]]:
+        """Ask the order something: its answer."""
+        self.number += 1
+        waiting: asyncio.Future[tuple[int, bytes]] = self.loop.create_future()
+        self.unanswered[self.number] = waiting
+        begin(self.number)
+        self.work()
+        return waiting
+
+    def answered(self, reply: Reply) -> None:
+        """The replica answers a call."""
+        waiting = self.unanswered.pop(reply.call, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result((reply.status, reply.text))
+
+    async def settle(self, ask: ControlCall) -> tuple[int, bytes]:
+        """Have the leader answer, here or elsewhere; 503 soon enough for the caller to go on to another member."""
+        size = len(self.replica.committed.text) if ask.kind == GET else len(ask.text)
+        until = self.loop.time() + call_timeout(size) + FORWARDING_TIME
+        while (left := until - self.loop.time()) > 0:
+            leader = self.replica.leader
+            voter = next((v for v in self.replica.voters() if v.disk == leader), None)
+            if self.replica.role is ReplicaRole.LEADER:
+                status, text = await self.settle_here(ask)
+            elif voter is not None:
+                status, text = await self.hand_on(voter, ask, left)
+            else:
+                await asyncio.sleep(FIND_LEADER_INTERVAL)
+                continue
+            if status != 503 or self.replica.leader == leader:
+                return status, text
+        return 503, b"no leader answers"
+
+    async def settle_here(self, ask: ControlCall) -> tuple[int, bytes]:
+        """Have this member's replica answer."""
+        now = self.loop.time()
+        if ask.kind == GET:
+            return await self.ask(lambda n: self.replica.get(now, n))
+        configuration = read(ask.text, checked=True)  # by the member that took the call
+        digest = hashlib.blake2b(ask.text, digest_size=16).digest()
+        return await self.ask(lambda n: self.replica.put(now, n, ask.base, configuration.generation, ask.text, digest))
+
+    async def hand_on(self, voter: Voter, ask: ControlCall, within: float) -> tuple[int, bytes]:
+        """Have the leader answer. A read takes its text from here where the leader has the same: a large one is not
+        sent over a slow link."""
+        if ask.kind != GET:
+            return await hand_on(self.node, voter, ask, within)
+        committed = self.replica.committed
+        asked = ControlCall(kind=GET, number=committed.number, digest=self.replica.digest)
+        reply = await hand_on_call(self.node, voter, asked, within)
+        return reply.status, committed.text if reply.held else reply.text
+
+    def on_ask(self, link: Link, frame: Frame) -> None:
+        """A call that another member hands on."""
+        ask = ControlCall()
+        ask.CopyFrom(frame.ask)
+
+        async def run() -> None:
+            reply = await self.reply_to(ask)
+            link.send(Frame(stream=frame.stream, told=reply))
+
+        task = self.loop.create_task(run())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def reply_to(self, ask: ControlCall) -> ControlReply:
+        if self.replica.role is not ReplicaRole.LEADER:
+            return ControlReply(status=503, text=b"does not lead")
+        try:
+            status, text = await self.settle_here(ask)
+        except MeshError as wrong:
+            return ControlReply(status=400, text=str(wrong).encode())
+        committed = self.replica.committed
+        held = (ask.number, ask.digest) == (committed.number, self.replica.digest)
+        if ask.kind == GET and status == 200 and held and text == committed.text:
+            return ControlReply(status=200, held=True)
+        return ControlReply(status=status, text=text)
+
+    async def on_replace(self, call: Call) -> Answer:
+        base = call.headers.get("x-base-version", "")
+        if not base.isascii() or not base.isdecimal() or len(base) > MAX_VERSION_DIGITS:
+            wrong = MeshError("BASE_MISSING", "must be the version that this one builds on", "X-Base-Version")
+            return refuse(400, wrong)
+        # In a thread: a large one takes a second, and this member's word is waited for ten times in that.
+        large = len(call.body) > LARGE
+        configuration = await self.loop.run_in_executor(None, read, call.body) if large else read(call.body)
+        # As the text is kept: what is the same but for blanks and order is the same entry.
+        text = orjson.dumps(orjson.loads(call.body), option=orjson.OPT_SORT_KEYS)
+        status, why = await self.settle(ControlCall(kind=PUT, base=int(base), text=text))
+        if status == 200:
+            return say(200, {"Generation": configuration.generation})
+        return refuse(
+            status,
+            MeshError(
+                {412: "CONFIG_BASE", 400: "CONFIG_INVALID"}.get(status, "CONFIG_UNCLEAR"),
+                why.decode("utf-8", "replace"),
+            ),
+        )
+
+    async def on_read(self, call: Call) -> Answer:
+        status, text = await self.settle(ControlCall(kind=GET))
+        if status == 200:
+            return Answer(200, b"Content-Type: application/json\r\n", text)
+        return refuse(status, MeshError("CONFIG_UNKNOWN", text.decode("utf-8", "replace")))
+
+
+async def hand_on(node: Node, voter: Voter, ask: ControlCall, within: float) -> tuple[int, bytes]:
+    """Ask another process: the status and text of its answer."""
+    reply = await hand_on_call(node, voter, ask, within)
+    return reply.status, reply.text
+
+
+async def hand_on_call(node: Node, voter: Voter, ask: ControlCall, within: float) -> ControlReply:
+    """Ask another process, and wait for its answer for so many s."""
+    line = node.line((voter.ip, voter.port))
+    told: asyncio.Future[ControlReply] = node.loop.create_future()
+
+    def answer(frame: Frame | None) -> None:
+        if not told.done():
+            told.set_result(frame.told if frame is not None else ControlReply(status=503, text=b"link lost"))
+
+    stream = line.call(Frame(ask=ask), answer)
+    try:
+        async with asyncio.timeout(within):
+            return await told
+    except TimeoutError:
+        return ControlReply(status=503, text=b"no answer in time")
+    finally:
+        line.over(stream)
