--- a/tests/mesh/test_client_calls.py
+++ b/tests/mesh/test_client_calls.py
@@ -7,7 +7,7 @@
 import unittest
 
 from mesh.cases import params
-from zinclever.mesh.consensus.client_calls import CALL_TIMEOUT, REMEMBERED, judge
+from zinclever.mesh.consensus.client_calls import CALL_TIMEOUT, REMEMBERED, call_timeout, judge
 from zinclever.mesh.consensus.messages import Proposal
 from zinclever.mesh.model.histories import Call, Told, linearizable
 from zinclever.mesh.model.members import World
@@ -186,6 +186,10 @@
         self.assertIs(call.told, Told.UNCLEAR)
         self.assertLess(call.ended - call.began, CALLER_TIMEOUT - 0.2)
 
+    @params((0, 0.6), (32 * 1024, 0.6), (132_768, 1.6), (4_000_000, 2.5))
+    def test_larger_configurations_may_take_longer(self, size: int, want: float) -> None:
+        self.assertAlmostEqual(call_timeout(size), want, places=6)
+
 
 class TwoOperators(unittest.TestCase):
     def test_one_number_with_two_texts(self) -> None:
--- a/zinclever/mesh/consensus/client_calls.py
+++ b/zinclever/mesh/consensus/client_calls.py
@@ -18,13 +18,14 @@
 
 CALL_TIMEOUT = 0.6  # s in which a call has an answer: a caller gives up after 1 s of silence, on its way here included
 LARGE_CALL_TIMEOUT = 2.5  # s for the largest configurations, whose callers wait longer
-TRANSFER_RATE = 100_000.0  # bytes/s that the entry of a large configuration is expected to reach voters and disks with
+LARGE_SIZE = 32 * 1024  # bytes of a configuration from which on it takes longer ...
+TRANSFER_RATE = 100_000.0  # ... by the time that its entry takes to voters and disks, in bytes/s
 REMEMBERED = 256  # changes that were taken whose repetition is recognized
 
 
 def call_timeout(size: int) -> float:
     """s in which a call with a configuration of so many bytes has an answer."""
-    return min(LARGE_CALL_TIMEOUT, CALL_TIMEOUT + size / TRANSFER_RATE)
+    return min(LARGE_CALL_TIMEOUT, CALL_TIMEOUT + max(0, size - LARGE_SIZE) / TRANSFER_RATE)
 
 
 class ClientCalls:
