--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -25,6 +25,7 @@
     HEARTBEAT_INTERVAL,
     QUORUM_TIMEOUT,
     RESEND_AFTER,
+    STANDSTILL,
 )
 
 
@@ -36,6 +37,7 @@
 
     def tick(self, now: float) -> None:
         self.voter_changes.tick(now)
+        self.notice_standstill(now)
         if now - self.heartbeat_at >= HEARTBEAT_INTERVAL:
             self.heartbeat_at = now
             for voter in self.others():
@@ -58,6 +60,13 @@
         self.answer_confirmed()
         self.calls.tick(now)
 
+    def notice_standstill(self, now: float) -> None:
+        """One that stood still has not listened: heartbeats of the leader may lie unread, and are read before it is
+        taken for silent. Who is right depends on terms alone; this spares a healthy leader an election."""
+        if now - self.ticked_at > STANDSTILL:
+            self.leader_heard_at = max(self.leader_heard_at, now - ELECTION_TIMEOUT / 2)
+        self.ticked_at = now
+
     def heartbeat(self) -> ConsensusMessage:
         acts = self.role is ReplicaRole.LEADER
         return ConsensusMessage(
--- a/zinclever/mesh/consensus/timing.py
+++ b/zinclever/mesh/consensus/timing.py
@@ -10,4 +10,5 @@
 QUORUM_TIMEOUT = 0.9  # without a heartbeat of a majority after which the leader steps down
 ELECTION_ROUND = 0.5  # for which votes are asked for before a higher term is tried
 RESEND_AFTER = 0.15  # after which what is not answered is sent again
+STANDSTILL = 0.3  # between two ticks from which on this member has stood still, or was not given the processor
 CATCH_UP_AFTER = 0.3  # for which a member lacks what is committed before it is sent whole
