--- a/tests/mesh/test_catch_up.py
+++ b/tests/mesh/test_catch_up.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import json
+import os
 import random
+import socket
 import tempfile
 import unittest
 from pathlib import Path
 from unittest import mock
 
 from mesh.cases import params
-from mesh.slow_links import MEGABIT, SlowWorld, config_text
+from mesh.cluster import run, until
 from zinclever.mesh.consensus.client_calls import REMEMBERED
-from zinclever.mesh.consensus.messages import Kind, Send
+from zinclever.mesh.consensus.messages import Kind, ReplicaRole, Send
 from zinclever.mesh.consensus.text_blocks import (
     MOST_BLOCK,
     cut,
@@ -24,8 +27,11 @@
 from zinclever.mesh.consensus.text_exchange import MOST_REPEATS, MOST_WAITING, TextExchange
 from zinclever.mesh.consensus.text_store import MOST_HELD, MOST_TEXTS, TextStore
 from zinclever.mesh.membership.records import ENDPOINT, GONE, Records
+from zinclever.mesh.model.slow_links import MEGABIT, SlowWorld, config_text
+from zinclever.mesh.roles import boot
+from zinclever.mesh.roles.control import ControlRole
 from zinclever.mesh.storage.generations import Generations
-from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry, Record, Voter
+from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, ControlCall, LogEntry, Record, Voter
 
 SMALL, MIDDLE, LARGE = 20_000, 1_000_000, 4_000_000  # bytes of a configuration
 FAST = 1e9  # bytes per s
@@ -193,6 +199,85 @@
         self.assertEqual(texts, {config_text(200_000, world.confirmed, 1)})
 
 
+class Processes(unittest.TestCase):
+    """Three control roles on links of this machine."""
+
+    def test_a_member_that_was_away(self) -> None:
+        async def test() -> None:
+            with tempfile.TemporaryDirectory() as folder:
+                members = ThreeMembers(Path(folder))
+                controls = [await members.start(n) for n in range(3)]
+                await until(lambda: any(c.replica.role is ReplicaRole.LEADER for c in controls))
+                leader = next(c for c in controls if c.replica.role is ReplicaRole.LEADER)
+                away = next(n for n in range(3) if controls[n] is not leader)
+                await members.put(leader, 1, 0)
+                await until(lambda: all(c.replica.committed.generation == 1 for c in controls))
+                members.end(controls[away])
+                await members.put(leader, 2, 1)
+                controls[away] = back = await members.start(away)
+                await until(lambda: back.replica.committed.generation == 2)
+                self.assertEqual(back.replica.committed.text, members.text(2))
+                counts = back.links.texts.counts
+                self.assertGreater(counts["finished"], 0)
+                self.assertLess(counts["blocks"], 20)
+                self.assertEqual(back.store.counts["unmarked"], 0)
+                for control in controls:
+                    members.end(control)
+
+        run(test)
+
+
+class ThreeMembers:
+    """Settings and calls of three members of the core, each with an address and a folder of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.addresses = [f"127.88.{os.getpid() % 200}.{n + 1}" for n in range(3)]
+        with socket.socket() as free:
+            free.bind((self.addresses[0], 0))
+            self.port = min(free.getsockname()[1], 65_000)
+
+    async def start(self, n: int) -> ControlRole:
+        settings = {
+            "NodeName": f"core-{n}",
+            "Role": "comb",
+            "Ip": self.addresses[n],
+            "Zone": "z",
+            "Serves": [],
+            "Bind": {},
+            "EphemeralPorts": [self.port, self.port + 1],
+            "SeedNodes": [f"{ip}:{self.port + 2}" for ip in self.addresses],
+            "Bootstrap": True,
+            "Limits": {"MaxFds": 1024},
+            "FaultModel": {"HostLosses": 1},
+            "Bounds": [],
+            "StateDir": str(self.folder / str(n)),
+        }
+        control = ControlRole(boot.read(json.dumps(settings).encode()))
+        await control.start()
+        return control
+
+    def end(self, control: ControlRole) -> None:
+        control.node.stop()
+        control.store.close()
+        control.store.thread.shutdown(wait=True)
+        control.replica.out.clear()
+        control.turn = lambda: None  # type: ignore[method-assign]
+
+    def text(self, generation: int) -> bytes:
+        routes = [
+            b'"r-%05d":{"Authority":"a%d.example","DeadlineS":%d,"MaxAttempts":2,"PathPrefix":"/%d/","Priority":1,'
+            b'"RouteClass":"idempotent","TargetLatencyS":1,"Target":"one"}' % (n, n, generation if n == 7 else 1, n)
+            for n in range(3000)
+        ]
+        services = b'"Services":{"one":{}}'
+        return b'{"Generation":%d,"Routes":{%b},%b}' % (generation, b",".join(routes), services)
+
+    async def put(self, leader: ControlRole, generation: int, base: int) -> None:
+        status, why = await leader.settle(ControlCall(kind="put", base=base, text=self.text(generation)))
+        assert status == 200, (status, why)
+
+
 ONE, TWO = Voter(disk="d1", ip="10.0.0.1", port=1), Voter(disk="d2", ip="10.0.0.2", port=1)
 
 
--- a/tests/mesh/slow_links.py
+++ b/zinclever/mesh/model/slow_links.py
@@ -8,11 +8,11 @@
 
 import orjson
 
-from zinclever.mesh.consensus.messages import Kind, Reply, Send
-from zinclever.mesh.consensus.replica import Replica
-from zinclever.mesh.consensus.text_exchange import TextExchange
-from zinclever.mesh.model.members import Machine, World
-from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
+from ..consensus.messages import Kind, Reply, Send
+from ..consensus.replica import Replica
+from ..consensus.text_exchange import TextExchange
+from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
+from .members import Machine, World
 
 MEGABIT = 125_000.0  # bytes per s
 STORM_EACH = 0.5  # s between two changes of a storm
