Catch-up: only members that lack one and the same entry are sent the committed one

Cause: a follower that is always one entry behind, as all are while changes come fast, was taken for one that lacks what is committed, and was sent the whole entry every 0.3 s.

--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -30,7 +30,6 @@
 QUORUM_TIMEOUT = 0.9  # s without a word of a majority after which the leader stops leading
 ELECTION_ROUND = 0.5  # s for which a majority is asked before a higher term is tried
 RESEND_AFTER = 0.15  # s after which what is not answered is said again
-CATCH_UP_AFTER = 0.3  # s for which a member lacks what is committed before it is sent whole
 
 
 class Replica(ReplicaState):
@@ -143,29 +142,26 @@
                 self.propose(now, self.next_entry(voters))
 
     def catch_up(self, now: float) -> None:
-        """Members that send for a while that they lack what is committed, or have it otherwise than the rest, get it
-        whole."""
+        """Send the committed entry whole to members that lack it for a while, or have it otherwise than a majority."""
         mine = (self.committed.number, self.digest)
         alike = {d for d, told in self.told.items() if told == mine} | {self.me.disk}
-        for voter in self.others():
+        others = self.others()
+        self.behind.keep_only(set(disk_ids(others)))
+        for voter in others:
             number, told = self.told.get(voter.disk, (0, 0))
             differs = number == mine[0] and told != mine[1] and has_majority(self.committed.voters, alike)
-            if number >= self.committed.number and not differs:
-                self.behind.pop(voter.disk, None)
-            elif now - self.behind.setdefault(voter.disk, now) > CATCH_UP_AFTER:
-                self.behind[voter.disk] = now
-                self.send(
-                    voter,
-                    ConsensusMessage(
-                        kind=Kind.HEARTBEAT,
-                        disk=self.me.disk,
-                        term=self.term,
-                        granted=True,
-                        voter=self.me,
-                        number=self.committed.number,
-                        committed=self.committed,
-                    ),
-                )
+            if differs:
+                due = self.behind.differs(now, voter.disk, number)
+            else:
+                due = self.behind.is_due(now, voter.disk, number, self.committed.number)
+            if due:
+                self.send_committed(voter)
+
+    def send_committed(self, voter: Voter) -> None:
+        """The snapshot: the committed entry is all the state that there is."""
+        message = self.heartbeat()
+        message.committed.CopyFrom(self.committed)
+        self.send(voter, message)
 
     def hand_over(self, now: float) -> None:
         """This member ends in order: what it acts for goes to the next one at once."""
--- a/zinclever/mesh/consensus/replica_state.py
+++ b/zinclever/mesh/consensus/replica_state.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
+from .catch_up import CatchUpWatch
 from .client_calls import ClientCalls
 from .messages import Action, Commit, Kind, Persist, ReplicaRole, Reply, Send, Vote
 from .quorum import digest, disk_ids
@@ -36,7 +37,7 @@
         self.waiting: dict[str, tuple[Voter, float]] = {}
         self.heartbeats: dict[tuple[str, int], ConsensusMessage] = {}  # the latest of each address
         self.known: list[tuple[str, int]] = []  # where members may be, besides the founders
-        self.behind: dict[str, float] = {}  # members that lack what is committed, and since when
+        self.behind = CatchUpWatch()
         self.token = 0
         self.after: dict[int, list[Send]] = {}  # what is said once a persist is done
         self.persisting: dict[int, Persist] = {}
