Links on which members only tell are kept alive: a stuck one is dialled anew

Change: Line.keep_alive pings a link that is silent for 0.5 s and ends it after 2 s, unless what waits to be sent still gets less; control members call it each turn for all whom they send to. Result: three tests in test_links (a stuck link, one that answers, a late look).

--- a/tests/mesh/test_links.py
+++ b/tests/mesh/test_links.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from typing import Any
+from unittest import mock
 
 from mesh.cluster import run, until
 from zinclever.mesh.transport import links
@@ -128,6 +129,62 @@
 
         run(test)
 
+    async def turns(self, line: Line, count: int) -> None:
+        for _ in range(count):
+            line.keep_alive()
+            await asyncio.sleep(0.02)
+
+    def test_a_line_that_only_tells_is_kept_alive_while_the_other_end_answers(self) -> None:
+        async def test() -> None:
+            async with Ends() as e:
+                e.line.tell(Frame(cancel=True))
+                await until(lambda: e.line.link is not None)
+                link = e.line.link
+                await self.turns(e.line, 40)
+                self.assertIs(e.line.link, link)
+
+        with mock.patch.multiple(links, KEEP_ALIVE_EACH=0.08, KEEP_ALIVE_FOR=0.3):
+            run(test)
+
+    def test_a_line_that_only_tells_dials_anew_after_silence(self) -> None:
+        """What was held up by a cut may stay so for long after it."""
+
+        async def test() -> None:
+            async with Ends() as e:
+                e.line.tell(Frame(cancel=True))
+                await until(lambda: e.line.link is not None)
+                link = e.line.link
+                await until(lambda: e.links and e.links[0].transport is not None)
+                held = e.links[0].transport
+                assert held is not None
+                held.pause_reading()
+                await self.turns(e.line, 40)
+                self.assertIsNone(e.line.link)
+                e.line.tell(Frame(cancel=True))
+                await until(lambda: e.line.link is not None)
+                self.assertIsNot(e.line.link, link)
+                held.abort()
+
+        with mock.patch.multiple(links, KEEP_ALIVE_EACH=0.08, KEEP_ALIVE_FOR=0.3):
+            run(test)
+
+    def test_a_line_that_looks_late_takes_nobody_for_silent(self) -> None:
+        async def test() -> None:
+            async with Ends() as e:
+                e.line.tell(Frame(cancel=True))
+                await until(lambda: e.line.link is not None)
+                link = e.line.link
+                assert link is not None
+                link.heard_at -= 5.0
+                e.line.kept_at -= 5.0
+                e.line.keep_alive()
+                self.assertFalse(link.lost)
+                link.heard_at -= 5.0
+                e.line.keep_alive()
+                self.assertTrue(link.lost)
+
+        run(test)
+
 
 class Hanging:
     """A loop whose connections never come up."""
--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -55,6 +55,11 @@
             self.lead(now)
         self.calls.tick(now)
 
+    def peers(self) -> list[Voter]:
+        """Whom this member sends to: the other voters, and learners that it knows of."""
+        learners = [voter for voter, _ in self.voter_changes.newcomers.values()]
+        return [*self.others(), *learners]
+
     def heartbeat(self) -> ConsensusMessage:
         acts = self.role is ReplicaRole.LEADER
         return ConsensusMessage(
--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -134,6 +134,8 @@
         self.loop.call_later(TURN, self.turn)
         self.replica.tick(self.loop.time())
         self.work()
+        for voter in self.replica.peers():
+            self.node.line((voter.ip, voter.port)).keep_alive()
 
     def on_consensus(self, link: Link, frame: Frame) -> None:
         self.replica.receive(self.loop.time(), frame.consensus)
--- a/zinclever/mesh/transport/links.py
+++ b/zinclever/mesh/transport/links.py
@@ -24,6 +24,8 @@
 PING_EACH = 0.1  # s between two looks at links on which something is asked
 DOUBT = 0.15  # s beyond two round trips, of silence or of dialling, after which nothing new is asked there
 LATE = 0.1  # s that a look comes late by, from which on this process stood still, and not the other end
+KEEP_ALIVE_EACH = 0.5  # s without a byte from the other end after which a line that is kept alive asks for one ...
+KEEP_ALIVE_FOR = 2.0  # s ... and after which its link counts as lost, unless what is to be sent still gets less
 LENGTH = 4
 
 OnFrame = Callable[["Link", Frame], None]
@@ -132,6 +134,10 @@
         self.dialled_at = -math.inf
         self.trip = 0.0
         """The shortest round trip that was seen here, in s."""
+        self.kept_at = 0.0
+        """When :meth:`keep_alive` last looked."""
+        self.unsent = 0
+        """Bytes that the kernel had no room for, then."""
 
     def call(self, frame: Frame, answer: OnAnswer, sent: Callable[[], None] | None = None) -> int:
         """Ask something; the number of its stream. ``sent``: called just before the frame goes out on a link: until
@@ -177,6 +183,24 @@
             if self.dialling is None:
                 self.dialling = self.loop.create_task(self.dial())
 
+    def keep_alive(self) -> None:
+        """Watch a line on which frames are only told, as :meth:`look` doesn't; to be called each turn. Bytes that a cut
+        held up may stay so long after it: a link from which nothing comes back is ended, and the next frame dials
+        anew."""
+        now, link = self.loop.time(), self.link
+        if link is None or link.transport is None:
+            return
+        unsent = link.transport.get_write_buffer_size()
+        if now - self.kept_at > KEEP_ALIVE_EACH or unsent < self.unsent:
+            link.heard_at = now  # this process stood still, or the other end takes what it is sent
+        self.kept_at, self.unsent = now, unsent
+        silent = now - link.heard_at
+        if silent > KEEP_ALIVE_FOR:
+            log.warning("link fell silent", extra={"code": "LINK_SILENT", "peer": self.address[0]})
+            link.end()
+        elif silent > KEEP_ALIVE_EACH and now - link.pinged_at > KEEP_ALIVE_EACH:
+            link.ping()
+
     def more(self, frame: Frame) -> None:
         """A further frame of a call that is out."""
         if self.link is not None:
