--- a/tests/mesh/test_voters.py
+++ b/tests/mesh/test_voters.py
@@ -5,20 +5,25 @@
 import copy
 import unittest
 from collections.abc import Iterator
+from unittest import mock
 
 import orjson
 
 from mesh.cases import params
+from zinclever.mesh.consensus import quorum
+from zinclever.mesh.consensus.messages import Kind
 from zinclever.mesh.consensus.quorum import FaultModel, Place
+from zinclever.mesh.consensus.replica import Replica
 from zinclever.mesh.model.members import World
 from zinclever.mesh.roles.boot import read
+from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
 
 DRAWS = 18
 
 
-def core(seed: int, members: int = 5, losses: int = 2, founders: int = 3) -> World:
+def core(seed: int, members: int = 5, losses: int = 2, founders: int = 3, kind: type[Replica] = Replica) -> World:
     """A core whose set of voters was founded by the seeds and joined by the rest, with version 1 acknowledged."""
-    w = World(seed, members, losses, founders=founders)
+    w = World(seed, members, losses, kind, founders)
     w.run(4.0)
     w.put(w.leaders()[0], 0, 1)
     w.run(0.5)
@@ -374,5 +379,75 @@
                     w.nothing_lost()
 
 
+class BrokenOnPurpose(unittest.TestCase):
+    """Each rule left out is found by the losses that it is there for."""
+
+    def loses(self, seed: int, kind: type[Replica]) -> bool:
+        """Whether something acknowledged is lost, or nobody can lead, where one of three leaves for good with only one
+        other copy there, and its successor has had its time before the disk with that other copy is lost."""
+        w = core(seed, 3, 1, 3, kind)
+        (leader,) = w.leaders()
+        leaver = follower(w)
+        lacking = next(ip for ip in w.machines if ip not in (leader, leaver))
+        w.cut_off(lacking)
+        w.put(leader, 1, 2)
+        w.run(0.3)
+        w.terminate(leaver, gone=True)
+        w.run(0.4)
+        if leaver in w.ending:  # it waits for the others, as it should
+            return False
+        w.cut.clear()
+        w.wipe(leader)
+        w.quiet(3.0)
+        return w.newest().generation < 2 or not w.leaders()
+
+    def test_let_go_at_once(self) -> None:
+        class Hasty(Replica):
+            def receive(self, now: float, m: ConsensusMessage) -> None:
+                super().receive(now, m)
+                if m.kind == Kind.LEAVE:
+                    self.send(
+                        m.voter,
+                        ConsensusMessage(kind=Kind.LEAVE_REPLY, disk=self.me.disk, term=self.term, granted=True),
+                    )
+
+        self.assertFalse(any(self.loses(seed, Replica) for seed in range(4)))
+        self.assertTrue(any(self.loses(seed, Hasty) for seed in range(4)))
+
+    def test_silence_that_lowers_what_can_be_lost(self) -> None:
+        """The set goes down to the size of the one that was founded, after a second."""
+
+        def shrinks(kind: type[Replica]) -> bool:
+            w = core(1, kind=kind)
+            w.kill(follower(w))
+            w.run(4.0)
+            return len(voters(w)) < 5
+
+        self.assertFalse(shrinks(Replica))
+        with mock.patch.object(quorum, "target_size", lambda founding_size, losses: founding_size):
+            self.assertTrue(shrinks(Replica))
+
+    def test_a_vote_before_the_state(self) -> None:
+        """A newcomer that takes nothing to its disk gets a vote all the same: then the next loss leaves no leader."""
+
+        class Eager(Replica):
+            def send_append(self, voter: Voter, entry: LogEntry) -> None:
+                super().send_append(voter, entry)
+                self.voter_changes.acknowledged(voter.disk, entry.number)
+
+        def leads_after_a_loss(kind: type[Replica]) -> bool:
+            w = core(1, 3, 1, 3, kind)
+            w.add("10.0.0.10")
+            w.full = {"10.0.0.10"}
+            w.run(4.0)
+            w.kill(next(ip for ip in w.machines if ip not in (*w.leaders(), "10.0.0.10")))
+            w.put(w.leaders()[0], 1, 2)
+            w.run(1.0)
+            return 2 in w.acked
+
+        self.assertTrue(leads_after_a_loss(Replica))
+        self.assertFalse(leads_after_a_loss(Eager))
+
+
 if __name__ == "__main__":
     unittest.main()
