--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -66,6 +66,11 @@
             self.leader_heard_at = max(self.leader_heard_at, now - ELECTION_TIMEOUT / 2)
         self.ticked_at = now
 
+    def peers(self) -> list[Voter]:
+        """Whom this member sends to: the other voters, and learners that it knows of."""
+        learners = [voter for voter, _ in self.voter_changes.newcomers.values()]
+        return [*self.others(), *learners]
+
     def heartbeat(self) -> ConsensusMessage:
         acts = self.role is ReplicaRole.LEADER
         return ConsensusMessage(
--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -130,6 +130,8 @@
         self.replica.tick(self.loop.time())
         self.links.tick()
         self.work()
+        for voter in self.replica.peers():
+            self.node.line((voter.ip, voter.port)).keep_alive()
 
     def on_consensus(self, link: Link, frame: Frame) -> None:
         for message in self.links.receive(frame.consensus):
