--- a/tests/mesh/test_configuration_handout.py
+++ b/tests/mesh/test_configuration_handout.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
+from typing import cast
 from unittest import mock
 
 from mesh.cluster import Mesh, config, run, until
@@ -21,6 +23,7 @@
 from zinclever.mesh.transport.links import Link
 from zinclever.mesh.transport.mesh_pb2 import Fetch, Frame
 
+IN_TOUCH = 3.0  # s after which a machine that was cut off counts as in touch, by the rules
 SLOW = 0.9  # s that an answer takes: longer than the first peer is waited for
 
 
@@ -34,6 +37,37 @@
     node.frames["fetch"] = late
 
 
+class Sieve:
+    """A datagram transport that loses what goes to some machines."""
+
+    def __init__(self, node: Node, ips: set[str]) -> None:
+        self.under, self.ips = node.gossip_socket.transport, ips
+        assert self.under is not None
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        if address[0] not in self.ips and self.under is not None:
+            self.under.sendto(data, address)
+
+    def close(self) -> None:
+        assert self.under is not None
+        self.under.close()
+
+
+def lose(node: Node, ips: set[str]) -> None:
+    node.gossip_socket.transport = cast(asyncio.DatagramTransport, Sieve(node, ips))
+
+
+async def end(sidecar: Sidecar) -> None:
+    """As by SIGKILL: nobody is told."""
+    for server in sidecar.servers:
+        server.close()
+    sidecar.node.gossip_socket.close()
+    sidecar.node.lines.close()
+    if sidecar.node.server is not None:
+        sidecar.node.server.close()
+    await asyncio.sleep(0.05)
+
+
 class First(unittest.TestCase):
     def test_the_teller_is_asked_first_then_others_beside_it(self) -> None:
         inquiry = Inquiry()
@@ -144,6 +178,33 @@
 
         run(test)
 
+    def test_a_sidecar_that_starts_on_the_side_without_the_core(self) -> None:
+        """It serves what its side has, and has the newest version once it counts as in touch."""
+
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                core = m.control.node
+                lose(core, set(m.ips))
+                core.frames["fetch"] = lambda link, frame: None
+                lose(m.sidecars[0].node, {m.core})
+                self.assertEqual((await m.put(config("one", "two", generation=2), 1))[0], 200)
+                await end(m.sidecars[1])
+                new = m.sidecars[1] = Sidecar(m.boot(m.ips[1], "forager", AppAddr=m.apps[1].address, Target="two"))
+                await new.start()
+                lose(new.node, {m.core})
+                await until(lambda: new.ready())
+                self.assertEqual([f.node.active.generation for f in m.sidecars], [1, 1])
+                self.assertEqual((await m.ask("/one/safe/x", at=1))[0], 200)
+                core.frames["fetch"] = core.handout.on_fetch
+                for node in (core, *(f.node for f in m.sidecars)):
+                    cast(Sieve, node.gossip_socket.transport).ips.clear()
+                began = m.control.loop.time()
+                await until(lambda: all(f.node.active.generation == 2 for f in m.sidecars))
+                self.assertLess(m.control.loop.time() - began, IN_TOUCH)
+
+        run(test)
+
     def test_a_peer_that_is_behind_takes_nothing_back(self) -> None:
         """What was in force once in this life stays so: an older version, from whomever, changes nothing and is told
         to nobody."""
