--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -506,6 +506,7 @@
                 view = await ask("/v1/mesh/view")
                 self.assertEqual((view["Role"], view["Generation"], len(view["Voters"])), ("LEADER", 1, 1))
                 self.assertEqual((view["Disk"]["mended"], view["Disk"]["refused"]), (0, 0))
+                self.assertEqual((view["Disk"]["unmarked"], view["Texts"]["given_up"]), (0, 0))
                 told = read_folder(Path(m.folder.name) / "disk")
                 self.assertEqual((told["Disk"], told["Generation"]), (view["Leader"], 1))
 
--- a/zinclever/mesh/operator_cli/commands.py
+++ b/zinclever/mesh/operator_cli/commands.py
@@ -53,6 +53,9 @@
             f"number {told['Number']}, configuration {told['Generation']}, term {told['Term']}, "
             f"{told['By']} {told['Role'].lower()}"
         )
+        for part in ("Disk", "Texts"):
+            counts = ", ".join(f"{name} {count}" for name, count in told.get(part, {}).items())
+            print(f"{part.lower()}: {counts}")
     return 0
 
 
