--- a/zinclever/mesh/model/members.py
+++ b/zinclever/mesh/model/members.py
@@ -36,10 +36,19 @@
 class World:
     """Members by address. A clock of its own for each, all moving alike."""
 
-    def __init__(self, seed: int, members: int = 3, losses: int = 1, kind: type[Replica] = Replica) -> None:
+    def __init__(
+        self,
+        seed: int,
+        members: int = 3,
+        losses: int = 1,
+        kind: type[Replica] = Replica,
+        founders: int | None = None,
+    ) -> None:
+        """``members`` machines start with empty disks; the first ``founders`` of them (all, if None) are the seeds."""
         self.rng = random.Random(seed)
         self.now, self.losses, self.kind = 0.0, losses, kind
-        self.founders = [(f"10.0.0.{n}", 1) for n in range(members)]
+        addresses = [(f"10.0.0.{n}", 1) for n in range(members)]
+        self.founders = addresses[:founders]
         self.machines: dict[str, Machine] = {}
         self.post: list[tuple[float, str, str, ConsensusMessage]] = []
         self.cut: set[tuple[str, str]] = set()
@@ -62,7 +71,11 @@
         self.refused: list[tuple[int, int]] = []
         self.committed: dict[int, bytes] = {}
         """By number: the entry, but for its term."""
-        for ip, _ in self.founders:
+        self.frozen: dict[str, list[ConsensusMessage]] = {}
+        """What has come for machines that stand still."""
+        self.ending: dict[str, tuple[float, bool]] = {}
+        """Members that got SIGTERM: when they are killed, and whether the machine goes with them."""
+        for ip, _ in addresses:
             self.add(ip, bootstrap=True)
 
     # --- machines ---
@@ -86,6 +99,8 @@
     def kill(self, ip: str, some: bool = True) -> None:
         """Power is lost: of what is not synced a first part may be on the disk."""
         m = self.machines[ip]
+        self.frozen.pop(ip, None)
+        self.ending.pop(ip, None)
         if some and m.persisting:
             for act in m.persisting[: self.rng.randrange(len(m.persisting) + 1)]:
                 self.write(m, act)
@@ -102,6 +117,36 @@
         self.kill(ip)
         del self.machines[ip]
 
+    def terminate(self, ip: str, gone: bool = False, grace: float = 4.8) -> None:
+        """SIGTERM: the member leaves, and ends once it may or its grace is over; ``gone``: with its machine."""
+        m = self.machines[ip]
+        assert m.replica is not None
+        self.ending[ip] = (self.now + grace, gone)
+        m.replica.leave(self.now)
+        self.carry_out(m)
+
+    def end(self, ip: str) -> None:
+        gone = self.ending[ip][1]
+        self.kill(ip, some=False)
+        if gone:
+            del self.machines[ip]
+
+    def freeze(self, ip: str) -> None:
+        """The process stands still; what comes for it is kept, and its disk does nothing."""
+        self.frozen[ip] = []
+
+    def thaw(self, ip: str) -> None:
+        """It goes on, with what has come meanwhile."""
+        m = self.machines[ip]
+        for message in self.frozen.pop(ip):
+            if m.replica is not None:
+                m.replica.receive(self.now, message)
+                self.carry_out(m)
+
+    def cut_off(self, ip: str) -> None:
+        """Cut a machine off from all others, in both directions."""
+        self.cut |= {(a, b) for a in self.machines for b in self.machines if ip in (a, b) and a != b}
+
     def write(self, m: Machine, act: Persist) -> None:
         m.disk.vote = act.vote
         if act.accepted is not None:
@@ -121,13 +166,15 @@
             self.rng.shuffle(due)
             for _, sender, to, message in due:
                 m = self.machines.get(to)
-                if m is not None and m.replica is not None and (sender, to) not in self.cut:
+                if to in self.frozen:
+                    self.frozen[to].append(message)
+                elif m is not None and m.replica is not None and (sender, to) not in self.cut:
                     m.replica.receive(self.now, message)
                     self.carry_out(m)
 
     def step(self, ip: str) -> None:
         m = self.machines[ip]
-        if m.replica is None:
+        if m.replica is None or ip in self.frozen:
             return
         while m.persisting and self.rng.random() < self.synced:
             act = m.persisting.pop(0)
@@ -137,6 +184,8 @@
         m.replica.known = [(o, 1) for o in self.machines]
         m.replica.tick(self.now)
         self.carry_out(m)
+        if ip in self.ending and (m.replica.may_end(self.now) or self.now > self.ending[ip][0]):
+            self.end(ip)
 
     def carry_out(self, m: Machine) -> None:
         assert m.replica is not None
@@ -251,6 +300,8 @@
         """No troubles from here on: everything comes together."""
         self.cut.clear()
         self.full.clear()
+        for ip in list(self.frozen):
+            self.thaw(ip)
         self.loss = self.doubles = 0.0
         for ip, m in self.machines.items():
             if m.replica is None:
