--- a/tests/mesh/test_catch_up.py
+++ b/tests/mesh/test_catch_up.py
@@ -14,25 +14,16 @@
 from mesh.cases import params
 from mesh.cluster import run, until
 from zinclever.mesh.consensus.client_calls import REMEMBERED
-from zinclever.mesh.consensus.messages import Kind, ReplicaRole, Reply, Send
+from zinclever.mesh.consensus.messages import ReplicaRole, Reply
 from zinclever.mesh.consensus.replica import Replica
-from zinclever.mesh.consensus.text_blocks import (
-    MOST_BLOCK,
-    cut,
-    manifest_of,
-    name_of_manifest,
-    names_in,
-    pack,
-    unpack,
-)
-from zinclever.mesh.consensus.text_exchange import MOST_REPEATS, MOST_WAITING, TextExchange
-from zinclever.mesh.consensus.text_store import MOST_HELD, MOST_TEXTS, TextStore
+from zinclever.mesh.consensus.text_blocks import cut, pack
+from zinclever.mesh.consensus.text_store import MOST_HELD
 from zinclever.mesh.membership.records import ENDPOINT, GONE, Records
 from zinclever.mesh.model.slow_links import MEGABIT, SlowWorld, config_text
 from zinclever.mesh.roles import boot
 from zinclever.mesh.roles.control import ControlRole
 from zinclever.mesh.storage.generations import Generations
-from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, ControlCall, LogEntry, Record, Voter
+from zinclever.mesh.transport.mesh_pb2 import ControlCall, Record
 
 SMALL, MIDDLE, LARGE = 20_000, 1_000_000, 4_000_000  # bytes of a configuration
 FAST = 1e9  # bytes per s
@@ -324,139 +315,6 @@
         assert status == 200, (status, why)
 
 
-ONE, TWO = Voter(disk="d1", ip="10.0.0.1", port=1), Voter(disk="d2", ip="10.0.0.2", port=1)
-
-
-class Exchange(unittest.TestCase):
-    def setUp(self) -> None:
-        self.one, self.two = TextExchange(ONE), TextExchange(TWO)
-        self.one.incoming(0.0, ConsensusMessage(kind=Kind.HEARTBEAT, disk="d2", voter=TWO, speaks=1))
-
-    def append(self, number: int, text: bytes) -> ConsensusMessage:
-        """As it comes to the second member: named, not whole."""
-        entry = LogEntry(term=1, number=number, text=text)
-        message = ConsensusMessage(kind=Kind.APPEND, disk="d1", term=1, entry=entry, voter=ONE)
-        (sent,) = self.one.outgoing(number * 1.0, Send(TWO, message))
-        self.assertLess(sent.message.ByteSize(), 200)
-        return sent.message
-
-    def answer(self) -> ConsensusMessage:
-        """What the first member answers to the latest request of the second one."""
-        request = self.two.out.pop()
-        self.two.out.clear()
-        self.one.incoming(0.0, request.message)
-        return self.one.out.pop().message
-
-    def exchanged(self) -> list[ConsensusMessage]:
-        """Requests and answers until there are no more; the messages that came whole."""
-        whole: list[ConsensusMessage] = []
-        while self.two.out:
-            whole += self.two.incoming(0.0, self.answer())
-        return whole
-
-    def test_a_text_arrives_as_it_was(self) -> None:
-        text = config_text(300_000, 1)
-        self.assertEqual(self.two.incoming(0.0, self.append(1, text)), [])
-        (whole,) = self.exchanged()
-        self.assertEqual((whole.entry.number, whole.entry.text, whole.entry.text_name), (1, text, b""))
-
-    def test_only_what_differs_is_fetched(self) -> None:
-        self.two.incoming(0.0, self.append(1, config_text(LARGE, 1)))
-        self.exchanged()
-        before = self.two.counts["blocks"]
-        self.two.incoming(0.0, self.append(2, config_text(LARGE, 2)))
-        (whole,) = self.exchanged()
-        self.assertEqual(whole.entry.text, config_text(LARGE, 2))
-        self.assertLess(self.two.counts["blocks"] - before, 20)
-
-    def test_what_was_begun_is_finished(self) -> None:
-        """Newer texts are named at each step; the one that is being fetched comes whole all the same, and then
-        the newest."""
-        self.two.incoming(0.0, self.append(1, config_text(300_000, 1, kind=1)))
-        whole: list[ConsensusMessage] = []
-        for number in range(2, 60):
-            whole += self.two.incoming(0.0, self.answer())
-            if whole:
-                break
-            self.two.incoming(0.0, self.append(number, config_text(300_000, number, kind=2)))
-            self.two.out[:] = self.two.out[-1:]
-            self.assertLessEqual(len(self.two.waiting), 2)
-        self.assertEqual([m.entry.number for m in whole], [1])
-        (newest,) = self.exchanged()
-        self.assertEqual(newest.entry.number, number - 1)
-
-    def test_a_damaged_block_is_not_taken(self) -> None:
-        self.two.incoming(0.0, self.append(1, config_text(300_000, 1)))
-        self.two.incoming(0.0, self.answer())
-        answer = self.answer()
-        data = bytearray(unpack(answer.blocks[0].packed, MOST_BLOCK) or b"")
-        data[5] ^= 1
-        answer.blocks[0].packed = pack(bytes(data))
-        held = dict(self.two.store.blocks)
-        self.assertEqual(self.two.incoming(0.0, answer), [])
-        self.assertEqual((self.two.store.blocks, self.two.counts["given_up"]), (held, 1))
-        self.two.incoming(0.0, self.append(2, config_text(300_000, 1)))
-        self.assertEqual([m.entry.number for m in self.exchanged()], [2])
-
-    def test_a_source_that_has_it_no_more(self) -> None:
-        self.two.incoming(0.0, self.append(1, config_text(300_000, 1)))
-        self.one.store = TextStore()
-        self.assertEqual(self.exchanged(), [])
-        self.assertEqual((self.two.transfer, self.two.waiting, self.two.counts["given_up"]), (None, [], 1))
-
-    def test_a_source_that_is_silent(self) -> None:
-        """Asked again, and given up; an answer of before is no reason to ask twice."""
-        self.two.incoming(0.0, self.append(1, config_text(300_000, 1)))
-        late = self.answer()
-        for step in range(1, 200):
-            self.two.tick(step * 0.1)
-        self.assertEqual((len(self.two.out), self.two.counts["given_up"]), (2, 1))
-        self.two.out.clear()
-        self.assertEqual((self.two.incoming(20.0, late), self.two.out), ([], []))
-
-    def test_bounded(self) -> None:
-        """5,000 changes to many members that never fetch anything, and as many named texts that nobody hands out."""
-        for number in range(1, 5001):
-            message = ConsensusMessage(kind=Kind.APPEND, disk=f"x{number}", term=1, voter=TWO, speaks=1)
-            message.entry.text_name = b"%016d" % number
-            self.two.incoming(0.0, message)
-            text = b"%d" % number * 20_000
-            self.one.outgoing(number * 1.0, Send(TWO, self.whole(number, text)))
-        self.assertLessEqual(len(self.two.waiting), MOST_WAITING)
-        self.assertEqual(len(self.two.out), 1)
-        self.assertLessEqual(len(self.two.speaks), 64)
-        self.assertLessEqual(len(self.one.sent_at), MOST_REPEATS)
-        self.assertLessEqual(len(self.one.store.manifests), MOST_TEXTS)
-        self.assertLessEqual(sum(len(b) for b in self.one.store.blocks.values()), MOST_HELD)
-        self.assertLessEqual(len(self.one.store.names), MOST_TEXTS)
-
-    def whole(self, number: int, text: bytes) -> ConsensusMessage:
-        entry = LogEntry(term=1, number=number, text=text)
-        return ConsensusMessage(kind=Kind.APPEND, disk="d1", term=1, entry=entry, voter=ONE)
-
-
-class Blocks(unittest.TestCase):
-    def test_any_text(self) -> None:
-        drawn = random.Random(4)
-        texts = [b"", b"x", b"},", b'},"' * 50_000, drawn.randbytes(100_000), config_text(LARGE, 3)]
-        texts += [b"".join(drawn.choice((b'},"', b"a", b"}")) for _ in range(5000)) for _ in range(20)]
-        for text in texts:
-            blocks = cut(text)
-            self.assertEqual(b"".join(blocks), text)
-            self.assertTrue(all(0 < len(block) <= MOST_BLOCK for block in blocks))
-            store = TextStore()
-            name = store.hold(text)
-            self.assertEqual((store.text(name), name), (text, name_of_manifest(manifest_of(blocks))))
-
-    def test_routes_that_come_and_go_change_few_blocks(self) -> None:
-        text = config_text(LARGE, 1)
-        before = set(names_in(manifest_of(cut(text))))
-        for at in (300, len(text) // 2, len(text) - 50):
-            end = text.rindex(b'},"', 0, at) + 3
-            changed = text[:end] + b'r-new":{"Authority":"new.example"},"' + text[end:]
-            self.assertLess(len(set(names_in(manifest_of(cut(changed)))) - before), 4)
-
-
 class Bounded(unittest.TestCase):
     """What 5,000 changes leave."""
 
