Attempts: count each from its sending until it is certain that it reached no endpoint

Cause: Hop.end took back attempts that ended at the sender itself (no place, no room a moment ago, a silent link) though they had never been counted, so Order.offered fell below what was out and a third endpoint was sent to. Second cause: a cancel that comes out of the loss of a link, before the cancelled attempt has heard of that loss, was taken for one that never went out (Line.over looks into calls that are emptied already). Also: a refund of the budget was booked at its own time, so that a window after that of the try held one too few.

Change: dataplane/attempts.py counts by reservation, each released once at most; the budget's refund names the try and takes it out of the step that counted it. What was handed to a link is told by the hop, not by the line's table. A keeper tells on a cancel whether any of it may be at the endpoint. A request of which a part has arrived ("dropped") counts. A dial's time counts from the call, so that a second call in the same turn is not taken for a silent link. Frames of a link that was given up are not heard.

The budget's test_what_reached_nobody_is_given_back names the try that is refunded, as the call does now, and asks for more (a second refund of it is none).

--- a/tests/mesh/test_dataplane.py
+++ b/tests/mesh/test_dataplane.py
@@ -7,7 +7,7 @@
 
 from mesh.cases import params
 from zinclever.mesh.dataplane.queue import Queue, Waiting
-from zinclever.mesh.dataplane.retry_budget import RetryBudget
+from zinclever.mesh.dataplane.retry_budget import PART, RetryBudget
 from zinclever.mesh.dataplane.returning import Returning
 from zinclever.mesh.verdict import Verdict
 
@@ -140,9 +140,24 @@
         for n in range(100):
             part.ask(n * 0.01)
         while part.may(1.0):
-            part.spend(1.0)
-        part.refund(1.0)
+            spent = part.spend(1.0)
+        part.refund(1.0, spent)
         self.assertTrue(part.may(1.0))
+        part.spend(1.0)
+        part.refund(1.0, spent)  # the same one again
+        self.assertFalse(part.may(1.0))
+
+    def test_a_refund_lowers_no_window_that_does_not_hold_the_try(self) -> None:
+        part = RetryBudget(0.2, 10.0, 0.0)
+        for n in range(400):
+            part.ask(n * 0.1)
+        early = part.spend(20.0)
+        part.refund(39.9, early)  # its window is over
+        spent = 0
+        while part.may(39.9):
+            part.spend(39.9)
+            spent += 1
+        self.assertEqual(spent, int(PART * 0.2 * part.asked.look(39.9)))
 
 
 class Verdicts(unittest.TestCase):
--- a/zinclever/mesh/dataplane/hop.py
+++ b/zinclever/mesh/dataplane/hop.py
@@ -11,8 +11,9 @@
 from ..transport.links import Line
 from ..transport.mesh_pb2 import ForwardReply, ForwardRequest, Frame, Piece
 from ..verdict import Verdict
+from .attempts import AttemptCount, Reservation
 from .keeper import Job, Keeper
-from .retry_budget import RetryBudget
+from .retry_budget import RetryBudget, Spending
 
 WHOLE = 64 * 1024  # bytes of a body that go in one frame: a longer one leaves room for others between its pieces
 
@@ -28,15 +29,14 @@
 
     __slots__ = (
         "aim_at",
+        "attempts",
         "body",
         "framed",
         "head",
         "id",
         "inner",
         "live",
-        "most",
         "notes",
-        "offered",
         "priority",
         "ran",
         "returned",
@@ -70,9 +70,8 @@
         self.turned: list[str] = []
         """Endpoints that turned it away themselves: they are not asked again."""
         self.service, self.id, self.head, self.body, self.framed = service, id, head, body, framed
-        self.safe, self.priority, self.aim_at, self.most, self.since = safe, priority, aim_at, most, since
-        self.offered = 0
-        """Attempts that an endpoint had, or may have had."""
+        self.safe, self.priority, self.aim_at, self.since = safe, priority, aim_at, since
+        self.attempts = AttemptCount(most)
         self.ran = False
         """One of them may have run."""
         self.notes: list[str] = []
@@ -97,8 +96,8 @@
     __slots__ = (
         "body",
         "copy",
-        "counted",
         "ended",
+        "handed_over",
         "job",
         "knocks",
         "line",
@@ -106,7 +105,9 @@
         "out",
         "out_to",
         "patient",
+        "reservation",
         "sent",
+        "spending",
         "stream",
         "wanted",
         "wire",
@@ -120,9 +121,13 @@
         self.line: Line | None = None
         self.stream = 0
         self.sent = self.out = self.copy = self.patient = self.knocks = False
+        self.handed_over = False
+        """Its first frame has gone out on a link: its keeper may know of it. Until ``sent`` it can't run there."""
         self.out_to = ""
-        self.counted = False
-        """It stands in the budget as a further try."""
+        self.reservation: Reservation | None = None
+        """It counts against the attempts of its request."""
+        self.spending: Spending | None = None
+        """It counts in the budget as a further try."""
         self.yielded: ForwardReply | None = None
         self.body: list[bytes] = []
         self.wanted = 0
@@ -131,20 +136,21 @@
         return self.sent
 
     def cancel(self, silent: bool) -> None:
+        """Stop waiting. It counts on unless it is certain that the endpoint hasn't got it and never will."""
         if self.ended is None:
             return
         self.ended = None
         self.over()
+        if self.line is not None:
+            self.line.over(self.stream)
+            if self.handed_over:
+                self.line.more(Frame(stream=self.stream, cancel=True))
+        if self.job is not None:
+            self.sent = self.wire.keeper.cancel(self.job)
         if self.sent:
             self.order.ran = True  # it may yet, until its keeper has heard
-        if self.job is not None:
-            self.wire.keeper.cancel(self.job)
-        elif self.line is not None:
-            out = self.line.over(self.stream)
-            if out:
-                self.line.more(Frame(stream=self.stream, cancel=True))
-            if not out or self.knocks:
-                self.wire.take_back(self)
+        else:
+            self.wire.release(self)
 
     def over(self) -> None:
         if self.out:
@@ -153,6 +159,7 @@
 
     def on_sent(self) -> None:
         """Just before it goes out. One that knocks can't run before its body is there."""
+        self.handed_over = True
         self.sent = not self.knocks
 
     def on_frame(self, frame: Frame | None) -> None:
@@ -202,7 +209,7 @@
             return
         order = self.order
         if not made.offered:
-            self.wire.take_back(self)
+            self.wire.release(self)
         order.note(f"{self.out_to}: {made.why or made.status}")
         verdict = Verdict(made.verdict) if made.verdict in (1, 2, 3, 4) else Verdict.MAYBE
         if verdict is Verdict.FULL and carried and not order.inner and not self.copy:
@@ -283,19 +290,12 @@
             order.tries += 1
             self.loop.call_soon(hop.end, ForwardReply(verdict=Verdict.FULL, why="silent"))
             return hop
-        if order.offered:
-            if order.offered >= order.most or not self.retry_budget.may(now):
-                self.counts["short"] += 1
-                order.note(
-                    f"{endpoint}: not sent, as "
-                    + ("the route allows no more" if order.offered >= order.most else "the budget is used up")
-                )
-                self.loop.call_soon(self.give_up, hop)
-                return hop
-            self.retry_budget.spend(now)
-            hop.counted = True
-            self.counts["copies"] += 1
-        order.offered += 1
+        refused = self.reserve(hop, now)
+        if refused:
+            self.counts["short"] += 1
+            order.note(f"{endpoint}: not sent, as {refused}")
+            self.loop.call_soon(self.give_up, hop)
+            return hop
         self.counts["sent"] += 1
         load = ForwardRequest(
             endpoint=endpoint,
@@ -338,9 +338,23 @@
         if ended is not None:
             ended("not_sent")
 
-    def take_back(self, hop: Hop) -> None:
-        """It has reached no endpoint."""
-        hop.order.offered -= 1
-        if hop.counted:
-            hop.counted = False
-            self.retry_budget.refund(self.loop.time())
+    def reserve(self, hop: Hop, now: float) -> str:
+        """Count an attempt against its request and, where it is a further one, against the budget; else why not."""
+        attempts = hop.order.attempts
+        further = attempts.reserved > 0
+        if further and not self.retry_budget.may(now):
+            return "the budget is used up"
+        hop.reservation = attempts.reserve()
+        if hop.reservation is None:
+            return "the route allows no more"
+        if further:
+            hop.spending = self.retry_budget.spend(now)
+            self.counts["copies"] += 1
+        return ""
+
+    def release(self, hop: Hop) -> None:
+        """An attempt has certainly reached no endpoint, and never will: as far as it was counted, it is no more."""
+        if hop.reservation is not None:
+            hop.order.attempts.release(hop.reservation)
+        if hop.spending is not None:
+            self.retry_budget.refund(self.loop.time(), hop.spending)
--- a/zinclever/mesh/dataplane/keeper.py
+++ b/zinclever/mesh/dataplane/keeper.py
@@ -75,6 +75,10 @@
         self.again = 0
         """Connections that ended before the endpoint had it whole."""
 
+    def may_have_reached(self) -> bool:
+        """Whether any of it may be at the endpoint."""
+        return self.again > 0 or (self.exchange is not None and self.exchange.connection is not None)
+
 
 class Keeper:
     """Owns the connections to the endpoint, and each job until its answer is told."""
@@ -214,7 +218,11 @@
         worked = now - job.begun
         if reply is None:
             proves = outcome in i.NEVER_RAN
-            made = ForwardReply(verdict=Verdict.NEVER if proves else Verdict.MAYBE, why=outcome, offered=not proves)
+            made = ForwardReply(
+                verdict=Verdict.NEVER if proves else Verdict.MAYBE,
+                why=outcome,
+                offered=not proves or outcome == "dropped",  # a part of one that was dropped has arrived
+            )
             self.counts["maybe"] += not proves
             if outcome == "connect_failed" and self.refused is not None:
                 self.refused()
@@ -254,27 +262,28 @@
         """Its time is up: nobody waits for it any more."""
         if job.answer is None:
             return
-        begun = job.exchange is not None
-        self.cancel(job, silent=True)
+        begun = self.cancel(job, silent=True)
         job.answer, answer = None, job.answer
         if answer is not None:
             answer(ForwardReply(verdict=Verdict.MAYBE if begun else Verdict.NEVER, why="deadline", offered=begun))
 
-    def cancel(self, job: Job, silent: bool = False) -> None:
-        """It is given up: what has not begun never does, and a run is ended."""
+    def cancel(self, job: Job, silent: bool = False) -> bool:
+        """It is given up: what has not begun never does, and a run is ended. Whether any may be at the endpoint."""
         if not silent:
             job.answer = None
         if job.timer is not None:
             job.timer.cancel()
         self.jobs.discard(job)
-        if job.exchange is not None:
-            exchange, job.exchange = job.exchange, None
-            self.stopped(job)
-            exchange.cancel(silent)
-            job.queue.left(job)
-            self.move()
-        else:
+        reached = job.may_have_reached()
+        if job.exchange is None:
             job.queue.drop(job)
+            return reached
+        exchange, job.exchange = job.exchange, None
+        self.stopped(job)
+        exchange.cancel(silent)
+        job.queue.left(job)
+        self.move()
+        return reached
 
     def tell(self, job: Job, made: ForwardReply) -> None:
         if job.timer is not None:
--- a/zinclever/mesh/transport/links.py
+++ b/zinclever/mesh/transport/links.py
@@ -142,8 +142,7 @@
             self.put(frame, answer, sent)
         else:
             self.waiting.append((frame, answer, sent))
-            if self.dialling is None:
-                self.dialling = self.loop.create_task(self.dial())
+            self.begin_dial()
         return self.streams
 
     def put(self, frame: Frame, answer: OnAnswer, sent: Callable[[], None] | None) -> None:
@@ -174,8 +173,7 @@
             self.link.send(frame)
         elif len(self.waiting) < 64:
             self.waiting.append((frame, nobody, None))
-            if self.dialling is None:
-                self.dialling = self.loop.create_task(self.dial())
+            self.begin_dial()
 
     def more(self, frame: Frame) -> None:
         """A further frame of a call that is out."""
@@ -215,26 +213,31 @@
             link.ping()
         self.watch_on()
 
+    def begin_dial(self) -> None:
+        """Dial, unless that goes on already. Its time counts from here on, not from when the task first runs."""
+        if self.dialling is None:
+            self.dialled_at = self.loop.time()
+            self.dialling = self.loop.create_task(self.dial())
+
     async def dial(self) -> None:
-        self.dialled_at = self.loop.time()
         impatient = self.loop.call_later(DOUBT + 2 * self.trip, self.let_go)
         try:
             link = await self.first_up()
         except OSError:
             self.dialling = None
-            waiting, self.waiting = self.waiting, []
-            for _, answer, _ in waiting:
-                answer(None)
+            self.not_up()
             return
         finally:
             impatient.cancel()
         self.trip = min(self.trip or math.inf, self.loop.time() - self.dialled_at)
         self.dialling = None
         if link.lost:
-            waiting, self.waiting = self.waiting, []
-            for _, answer, _ in waiting:
-                answer(None)
-            return
+            self.not_up()
+        else:
+            self.up(link)
+
+    def up(self, link: Link) -> None:
+        """A link stands: what waits for it goes out."""
         self.link = link
         link.send(Frame(hello=self.hello))
         waiting, self.waiting = self.waiting, []
@@ -244,6 +247,12 @@
             else:
                 self.put(frame, answer, sent)
 
+    def not_up(self) -> None:
+        """No link came up: what waits for it has gone nowhere."""
+        waiting, self.waiting = self.waiting, []
+        for _, answer, _ in waiting:
+            answer(None)
+
     def let_go(self) -> None:
         """A dial hangs: what waits for an answer isn't sent from here, and may be asked elsewhere."""
         calls = [w for w in self.waiting if w[1] is not nobody]
@@ -275,8 +284,9 @@
         return link
 
     def on_frame(self, link: Link, frame: Frame) -> None:
+        """From a link that was given up nothing counts: its calls have been told that it is lost."""
         answer = self.calls.get(frame.stream)
-        if answer is not None:
+        if answer is not None and link is self.link:
             answer(frame)
 
     def on_lost(self, link: Link) -> None:
