A beat that is read before the first look after a standstill is not one of the future

The span of the standstill was added to it, so that an endpoint that ended then was noticed later by so much (the new test fails without this).

--- a/tests/mesh/test_endpoint_calls.py
+++ b/tests/mesh/test_endpoint_calls.py
@@ -211,8 +211,9 @@
                 for standing in (20.0, 0.0):  # for which the process stood still; else the endpoint was silent
                     sidecar.endpoint.beat_at -= 20.0
                     sidecar.endpoint.looked_at -= standing
-                    sidecar.endpoint.look()
+                    sidecar.endpoint.look()  # before anything that has come is read
                     self.assertEqual(sidecar.keeper.endpoint, app.id if standing else "")
+                    self.assertLessEqual(sidecar.endpoint.beat_at, sidecar.loop.time())
 
         run(test)
 
@@ -253,6 +254,20 @@
 
         run(test)
 
+    def test_a_beat_that_is_read_before_the_first_look_after_a_standstill(self) -> None:
+        """It is not counted as one of the future: an endpoint that ends then is noticed in time."""
+
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                own = m.sidecars[0].endpoint
+                own.looked_at -= 20.0
+                self.assertEqual(await m.beat(0), 200)
+                own.look()
+                self.assertLessEqual(own.beat_at, m.sidecars[0].loop.time())
+
+        run(test)
+
     @params(
         ("a drain", None, (5, DRAINING), (5, DRAINING, 0)),
         ("a late drain is one", endpoint(seq=9, life=2), (5, DRAINING), (9, DRAINING, 2)),
--- a/zinclever/mesh/roles/own_endpoint.py
+++ b/zinclever/mesh/roles/own_endpoint.py
@@ -119,8 +119,8 @@
         self.looked_at = self.loop.time()
         if stood_still > LATE:
             # What the endpoint said in that time is not read yet.
-            self.beat_at += stood_still
-            self.claims = {endpoint: since + stood_still for endpoint, since in self.claims.items()}
+            self.beat_at = min(self.looked_at, self.beat_at + stood_still)
+            self.claims = {e: min(self.looked_at, since + stood_still) for e, since in self.claims.items()}
         if self.keeper.endpoint and self.loop.time() - self.beat_at > MISSED * self.boot.beat:
             log.info("endpoint fell silent", extra={"code": "ENDPOINT_SILENT", "endpoint": self.keeper.endpoint})
             self.end(self.keeper.endpoint)
