Calls to seeds are spread: the two sides of a cut meet sooner

Cause: all processes of a side called their seeds at the same instants, each 2 s (a start in common aligns them, and the offset drawn at the start was lost with the first calls). Each span is drawn from 1.5 to 2.5 s now; the mean stays.

--- a/zinclever/mesh/membership/gossip.py
+++ b/zinclever/mesh/membership/gossip.py
@@ -37,6 +37,7 @@
 ASKED = 2  # others that give a second opinion
 DIGEST_EACH = 0.5  # s between two digests to one peer
 SEED_EACH = 2.0  # s between two digests to a seed, or to one that is taken for dead: how two sides of a cut meet
+SEED_SPREAD = 1.0  # s over which these are spread: those of one side don't all call at the same instant
 LATE = 3 * TICK  # s between two turns from which on this process doubts itself, not the others
 MOST_NEWS = 1100  # bytes of records in one datagram
 MOST_HOLDINGS = 24  # of them in one datagram
@@ -74,8 +75,7 @@
         self.receipts: dict[int, Receipt] = {}
         self.heard: dict[str, float] = {}
         self.numbers = 0
-        self.began = self.ticked_at = self.probed_at = now
-        self.seeded_at = now - SEED_EACH * rng.random()  # those that start at once don't all call at once
+        self.began = self.ticked_at = self.probed_at = self.seeded_at = now
         self.digested_at = -math.inf
         self.met = False
         """Another has answered a digest of ours, or told us news."""
@@ -222,7 +222,7 @@
             rooted = self.met and info is not None and info.speaks >= ROOTS
             self.send(name, GossipMessage(root=self.records.root()) if rooted else digest)
         if self.seeds and (not peers or not self.met or now - self.seeded_at >= SEED_EACH):
-            self.seeded_at = now
+            self.seeded_at = now + SEED_SPREAD * (self.rng.random() - 0.5)
             mine = self.address(self.me)
             for seed in self.seeds if not self.met else [self.rng.choice(self.seeds)]:
                 if seed != mine:
