A late entry of a leader no longer overwrites a later one on a voter's disk

Cause, found by the explorer (leader replaced, one change, 42,961 states): a voter that had accepted entry 4 under a term read entry 2 of the same leader after it, as after a pause, and saved it over the later one. Its grant for entry 4 counted, so that an acknowledged change was on one disk of three. The same for a committed entry told by the leader while a later one was being saved, and for an entry of a leader of before at a voter that had heard what was committed under a higher term without a vote of its own.

Change: a voter judges against the entry that is on its disk once the saves under way are done (last_accepted). It passes over an entry with a lower number under the same term, as the leader has committed it since, and refuses one under a term below that of what it has accepted.

Ruled out: comparing with the accepted entry alone, as saves that are under way are not in it.

--- a/tests/mesh/test_consensus.py
+++ b/tests/mesh/test_consensus.py
@@ -523,6 +523,61 @@
         self.assertEqual(None if found is None else [s.disk for s in found], want, name)
 
 
+class LateEntries(unittest.TestCase):
+    """Messages of one leader that overtake each other: found by the explorer, after a pause."""
+
+    def follower(self) -> tuple[World, Replica]:
+        w = up()
+        (ip,) = w.leaders()
+        replica = next(m.replica for o, m in w.machines.items() if o != ip)
+        assert replica is not None
+        replica.out.clear()
+        return w, replica
+
+    def append(self, w: World, replica: Replica, number: int, term: int = 1) -> None:
+        entry = LogEntry(term=term, number=number, voters=replica.committed.voters, founding_size=3)
+        leader = next(v for v in replica.committed.voters if v.disk == replica.leader)
+        message = ConsensusMessage(
+            kind=orders.Kind.APPEND, disk=leader.disk, term=term, number=number, entry=entry, voter=leader
+        )
+        replica.receive(w.now, message)
+
+    def saves(self, w: World, replica: Replica) -> list[int]:
+        """Numbers of the entries that are saved, in order."""
+        saves = [a for a in replica.out if isinstance(a, orders.Persist) and a.accepted is not None]
+        replica.out.clear()
+        for act in saves:
+            replica.persisted(w.now, act.token, True)
+        return [act.accepted.number for act in saves if act.accepted is not None]
+
+    @params("is saved", "is being saved")
+    def test_an_entry_does_not_overwrite_a_later_one(self, case: str) -> None:
+        w, replica = self.follower()
+        self.append(w, replica, 4)
+        saved = self.saves(w, replica) if case == "is saved" else []
+        self.append(w, replica, 3)
+        self.assertEqual(saved + self.saves(w, replica), [4])
+        self.assertEqual(replica.accepted.number if replica.accepted is not None else 0, 4)
+
+    def test_a_committed_entry_does_not_overwrite_a_later_one(self) -> None:
+        w, replica = self.follower()
+        self.append(w, replica, 4)
+        replica.take_committed(
+            w.now, LogEntry(term=1, number=3, voters=replica.committed.voters, founding_size=3, text=b"x")
+        )
+        self.assertEqual(self.saves(w, replica), [4])
+
+    def test_a_leader_of_before_does_not_overwrite_what_was_committed(self) -> None:
+        """The voter has heard what is committed under a higher term, without a vote of its own for it."""
+        w, replica = self.follower()
+        replica.take_committed(w.now, LogEntry(term=5, number=3, voters=replica.committed.voters, founding_size=3))
+        self.assertEqual(self.saves(w, replica), [3])
+        self.append(w, replica, 4, term=1)
+        (answer,) = [a.message for a in replica.out if isinstance(a, orders.Send)]
+        self.assertEqual((answer.granted, answer.round), (False, 5))
+        self.assertEqual(self.saves(w, replica), [])
+
+
 class Phases(unittest.TestCase):
     def test_what_is_not_saved_is_not_promised(self) -> None:
         w = up()
--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -336,8 +336,10 @@
 
     def on_append(self, now: float, m: ConsensusMessage) -> None:
         entry = m.entry
+        last = self.last_accepted()
+        promised = max(self.vote.term, last.term if last is not None else 0)
         known = self.vote.disk in ("", m.disk) or m.term > self.vote.term
-        vowed = m.term < self.vote.term or not known
+        vowed = m.term < promised or not known
         if vowed or self.conflicts_with_founding(entry):
             self.answer(
                 m,
@@ -347,10 +349,12 @@
                     term=m.term,
                     number=entry.number,
                     granted=False,
-                    round=self.vote.term if vowed else 0,
+                    round=promised if vowed else 0,
                 ),
             )
             return
+        if last is not None and entry.term == last.term and entry.number < last.number:
+            return  # late: its leader has committed it since, and what was accepted after it must not be overwritten
         if m.disk != self.me.disk:
             self.follow(now, m.disk, m.term)
         self.vote = Vote(m.term, m.disk)
@@ -400,7 +404,7 @@
         differs = entry.number == self.committed.number and digest(entry) != self.digest
         if entry.number > self.committed.number or differs:
             self.commit(now, entry, mends=differs)
-            mine = self.accepted
+            mine = self.last_accepted()
             if mine is None or mine.number < entry.number:
                 self.persist(entry, [])
             elif differs and mine.number == entry.number:
--- a/zinclever/mesh/consensus/replica_state.py
+++ b/zinclever/mesh/consensus/replica_state.py
@@ -106,6 +106,11 @@
         self.after[self.token], self.persisting[self.token] = after, act
         self.out.append(act)
 
+    def last_accepted(self) -> LogEntry | None:
+        """The entry that is on the disk once the saves under way are done."""
+        pending = [act.accepted for act in self.persisting.values() if act.accepted is not None]
+        return pending[-1] if pending else self.accepted
+
     def persisted(self, now: float, token: int, good: bool) -> None:
         """A persist is done, or has failed: then nothing is promised."""
         act, after = self.persisting.pop(token), self.after.pop(token)
