--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -122,7 +122,7 @@
         """Learners get the committed entry, and voters that may lack it while one of them leaves; as a proposal, since
         that is acknowledged once it is durable."""
         for voter in self.voter_changes.lacking(now, self.committed):
-            self.send_append(voter, self.committed)
+            self.send_append(voter, self.under_own_term(self.committed))
 
     def let_go_who_leaves(self) -> None:
         """Those that leave may end once what is committed stays on enough other disks."""
@@ -285,7 +285,7 @@
         differs = entry.number == self.committed.number and digest(entry) != self.digest
         if entry.number > self.committed.number or differs:
             self.commit(now, entry, mends=differs)
-            mine = self.accepted
+            mine = self.last_accepted()
             if mine is None or mine.number < entry.number:
                 self.persist(entry, [])
             elif differs and mine.number == entry.number:
--- a/zinclever/mesh/consensus/replication.py
+++ b/zinclever/mesh/consensus/replication.py
@@ -40,10 +40,20 @@
             ConsensusMessage(kind=Kind.APPEND, disk=self.me.disk, term=self.term, entry=entry, voter=self.me),
         )
 
+    def under_own_term(self, entry: LogEntry) -> LogEntry:
+        """A committed entry as this leader proposes it: a member that has accepted a later one of a term before, which
+        was never committed, takes it in its place."""
+        made = LogEntry()
+        made.CopyFrom(entry)
+        made.term = self.term
+        return made
+
     def on_append(self, now: float, m: ConsensusMessage) -> None:
         entry = m.entry
+        last = self.last_accepted()
+        promised = max(self.vote.term, last.term if last is not None else 0)
         known = self.vote.disk in ("", m.disk) or m.term > self.vote.term
-        vowed = m.term < self.vote.term or not known
+        vowed = m.term < promised or not known
         if vowed or self.conflicts_with_founding(entry):
             self.answer(
                 m,
@@ -53,14 +63,14 @@
                     term=m.term,
                     number=entry.number,
                     granted=False,
-                    round=self.vote.term if vowed else 0,
+                    round=promised if vowed else 0,
                 ),
             )
             return
         if m.disk != self.me.disk:
             self.follow(now, m.disk, m.term)
-        if self.has_newer(entry):
-            return  # said earlier by the same leader, and come late: what was promised since stays promised
+        if last is not None and last.number > entry.number and last.term >= entry.term:
+            return  # late: its leader has committed it since, and what was accepted after it stays promised
         self.vote = Vote(m.term, m.disk)
         answer = ConsensusMessage(
             kind=Kind.APPEND_REPLY, disk=self.me.disk, term=m.term, number=entry.number, granted=True
@@ -75,11 +85,6 @@
         if self.role is ReplicaRole.FOLLOWER or self.role is ReplicaRole.LEARNER:
             self.leader, self.leader_heard_at = disk, now
 
-    def has_newer(self, entry: LogEntry) -> bool:
-        """Whether this member has, or is about to have, a later entry of the same term."""
-        taken = [self.accepted, *(p.accepted for p in self.persisting.values())]
-        return any(e is not None and e.term == entry.term and e.number > entry.number for e in taken)
-
     def conflicts_with_founding(self, entry: LogEntry) -> bool:
         """Whether this would be a second founding."""
         if entry.number != 1:
