--- a/zinclever/mesh/dataplane/keeper.py
+++ b/zinclever/mesh/dataplane/keeper.py
@@ -14,7 +14,7 @@
 from ...core.descriptors import Descriptors
 from ...core.host import Host
 from ...core.pools import ExclusivePools
-from ...core.protocol import Address
+from ...core.protocol import Address, Ended
 from ...fleet.limits import Connections
 from ...http1.connection import Broken, ClientConnection, Reply, dial
 from ...http1.wire import Exchange
@@ -37,13 +37,25 @@
 class Visit(Exchange):
     """One request at the endpoint. What is no answer of its own proves nothing."""
 
-    __slots__ = ("id",)
+    __slots__ = ("endpoint", "expires_at", "id")
 
-    id: bytes
+    def __init__(self, load: ForwardRequest, body: bytes, ended: Ended, expires_at: float) -> None:
+        super().__init__(load.head, body, load.framed, ended, 0.0, nothing)
+        self.id = load.id.encode("latin-1")
+        self.endpoint = load.endpoint.encode()
+        self.expires_at = expires_at
+        """Instant in s at which nobody waits for it any more."""
 
     def run(self, connection: ClientConnection) -> None:
-        quiet = asyncio.get_running_loop().time() - connection.heard_at
-        self.hold = HOLD if connection.heard_at and quiet > QUIET else 0.0
+        """Send it, unless its time has passed while a connection came up or this process stood still."""
+        now = asyncio.get_running_loop().time()
+        left = self.expires_at - now
+        if left <= 0.0:
+            connection.abort()
+            self.end("not_sent")
+            return
+        self.head += TAIL % (self.endpoint, max(1, int(1000 * left)))
+        self.hold = HOLD if connection.heard_at and now - connection.heard_at > QUIET else 0.0
         super().run(connection)
 
     def done(self, result: Reply | Broken) -> None:
@@ -75,6 +87,11 @@
         self.again = 0
         """Connections that ended before the endpoint had it whole."""
 
+    @property
+    def expires_at(self) -> float:
+        """Instant in s at which nobody waits for it any more."""
+        return self.since + self.left
+
     def may_have_reached(self) -> bool:
         """Whether any of it may be at the endpoint."""
         return self.again > 0 or (self.exchange is not None and self.exchange.connection is not None)
@@ -178,18 +195,22 @@
     def move(self) -> None:
         """Begin what there is room for."""
         while self.open:
-            job = self.queue.next(self.loop.time())
+            now = self.loop.time()
+            job = self.queue.next(now)
             if job is None:
                 break
             assert isinstance(job, Job)
-            self.begin(job)
+            if job.expires_at <= now:  # its timer is due, but hasn't run yet
+                self.queue.left(job)
+                self.turn_back(job, Verdict.NEVER, "deadline")
+            else:
+                self.begin(job)
 
     def begin(self, job: Job) -> None:
         load = job.load
-        left = job.since + job.left - self.loop.time()
         if job.timer is not None:
             job.timer.cancel()
-        job.timer = self.loop.call_later(max(0.0, left), self.expire, job)
+        job.timer = self.loop.call_later(max(0.0, job.expires_at - self.loop.time()), self.expire, job)
         self.counts["offered"] += 1
         self.running[load.id] = self.running.get(load.id, 0) + 1
         job.begun = self.loop.time()
@@ -197,13 +218,9 @@
 
     def visit(self, job: Job) -> None:
         """Send it, on whichever connection there is."""
-        load = job.load
-        left = job.since + job.left - self.loop.time()
-        head = load.head + TAIL % (load.endpoint.encode(), max(1, int(1000 * left)))
-        visit = Visit(head, job.body, load.framed, partial(self.ended, job), 0.0, nothing)
-        visit.id = load.id.encode("latin-1")
+        visit = Visit(job.load, job.body, partial(self.ended, job), job.expires_at)
         job.exchange = visit
-        self.pools.carry(load.endpoint, visit)
+        self.pools.carry(job.load.endpoint, visit)
 
     def ended(self, job: Job, outcome: i.Outcome, reply: Reply | None = None, report: object = None) -> None:
         """The endpoint has answered, or its connection tells how far a request got."""
