Budget: calls issued by a run that was itself a repeat count as repeats

It is sent all the same: refusing it would fail its parent; it leaves less for further attempts.

Tests: test_attempts.Repeats, test_answers.RunsOfRepeats (the code before has no such count).

--- a/tests/mesh/test_answers.py
+++ b/tests/mesh/test_answers.py
@@ -236,6 +236,29 @@
         run(test)
 
 
+class RunsOfRepeats(unittest.TestCase):
+    """What a run calls counts as a repeat while a repeat is at work under its id, and no longer."""
+
+    def test_told_while_it_is_at_work(self) -> None:
+        async def test() -> None:
+            keeper = Keeper(System(), Descriptors(100))
+            keeper.pools.carry = lambda endpoint, attempt: None  # type: ignore[method-assign]
+            keeper.admit("e", ("127.0.0.1", 9), 4)
+            first, again = (
+                keeper.offer(ForwardRequest(endpoint="e", id="r", left_ms=900, repeat=repeat), b"", lambda made: None)
+                for repeat in (False, True)
+            )
+            assert first is not None and again is not None
+            self.assertTrue(keeper.repeats("r"))
+            keeper.cancel(again)
+            self.assertEqual((keeper.runs("r"), keeper.repeats("r")), (True, False))
+            keeper.cancel(first)
+            self.assertFalse(keeper.runs("r"))
+            self.assertEqual(keeper.running, {})
+
+        run(test)
+
+
 class Surplus(unittest.TestCase):
     def test_two_answers_in_one_read_reach_only_who_asked(self) -> None:
         def twice(headers: dict[str, str]) -> bytes:
--- a/tests/mesh/test_attempts.py
+++ b/tests/mesh/test_attempts.py
@@ -345,6 +345,37 @@
         self.assertEqual(world.reached(), 2)
 
 
+class Repeats(unittest.TestCase):
+    """Arrivals beyond the first of each request count, and so does whatever a repeat's run calls."""
+
+    def loads(self, world: World) -> list[bool]:
+        for n in range(len(THERE)):
+            world.dialled(n)
+        frames = [frame for link in world.links for frame in link.out]
+        return [frame.load.repeat for frame in frames if frame.WhichOneof("what") == "load"]
+
+    def test_a_further_attempt_says_that_it_is_one(self) -> None:
+        world = World(2, b"", SPEAKS)
+        world.start(1)
+        world.start(3)
+        self.assertEqual(self.loads(world), [False, True])
+        self.assertEqual(world.wire.retry_budget.spent.total, 1)
+
+    def test_a_call_of_a_repeat_counts_from_its_first_attempt(self) -> None:
+        world = World(2, b"", SPEAKS)
+        world.order.repeat = True
+        world.start(1)
+        self.assertEqual(self.loads(world), [True])
+        self.assertEqual(world.wire.retry_budget.spent.total, 1)
+
+    def test_one_that_reached_nobody_does_not_count(self) -> None:
+        world = World(2, b"", SPEAKS)
+        world.order.repeat = True
+        world.start(1)
+        world.hops[0].cancel(False)
+        self.assertEqual(world.wire.retry_budget.spent.total, 0)
+
+
 class Count(unittest.TestCase):
     def test_taken_back_once(self) -> None:
         count = AttemptCount(2)
--- a/zinclever/mesh/dataplane/egress.py
+++ b/zinclever/mesh/dataplane/egress.py
@@ -43,12 +43,15 @@
         flights: Flights,
         service: str,
         runs: Callable[[str], bool],
+        repeats: Callable[[str], bool],
     ) -> None:
         super().__init__(descriptors)
         self.host, self.active, self.flights = host, active, flights
         self.caller = b"X-Caller-Service: %b\r\n" % service.encode("latin-1")
         self.runs = runs
         """Whether the endpoint of this machine is at work on a request with this id."""
+        self.repeats = repeats
+        """Whether that run is a repeat."""
         self.whole_only = True
         self.number = 0
         self.open: dict[str, Order] = {}
@@ -105,7 +108,8 @@
         named = request_id.decode("latin-1")
         # A call of the endpoint's own extends the id of the request that it is at work on. What is claimed counts only
         # where that request is at work here.
-        inner = "." in named and self.runs(named.rpartition(".")[0])
+        parent = named.rpartition(".")[0]
+        inner = bool(parent) and self.runs(parent)
         order = Order(
             service,
             named,
@@ -119,6 +123,7 @@
             now,
             inner,
             used > 0.0 and not inner,
+            inner and self.repeats(parent),
         )
         flight = self.flights.to(service)
         return Incoming(number, flight.klass(route, deadline), 0, "", 1000.0 * wait, 0.0, False, order)
--- a/zinclever/mesh/dataplane/hop.py
+++ b/zinclever/mesh/dataplane/hop.py
@@ -39,6 +39,7 @@
         "notes",
         "priority",
         "ran",
+        "repeat",
         "returned",
         "safe",
         "service",
@@ -61,8 +62,11 @@
         since: float,
         inner: bool,
         returned: bool = False,
+        repeat: bool = False,
     ) -> None:
         self.inner = inner
+        self.repeat = repeat
+        """A run that was itself a repeat issued it: it counts in the budget from its first attempt on."""
         self.returned = returned
         """It was refused before. It takes what is free and doesn't wait: in a crowd, one that is served at its first
         try earns more with the same turn."""
@@ -310,6 +314,7 @@
             inner=order.inner,
             copy=order.live > 0,
             patient=patient,
+            repeat=hop.spending is not None,
         )
         hop.copy, hop.patient = order.live > 0, patient
         order.live += 1
@@ -347,9 +352,9 @@
         hop.reservation = attempts.reserve()
         if hop.reservation is None:
             return "the route allows no more"
-        if further:
+        if further or hop.order.repeat:
             hop.spending = self.retry_budget.spend(now)
-            self.counts["copies"] += 1
+            self.counts["copies"] += further
         return ""
 
     def release(self, hop: Hop) -> None:
--- a/zinclever/mesh/dataplane/keeper.py
+++ b/zinclever/mesh/dataplane/keeper.py
@@ -113,8 +113,8 @@
         """The endpoint takes new requests."""
         self.queue = Queue(1)
         self.jobs: set[Job] = set()
-        self.running: dict[str, int] = {}
-        """Ids of requests that are at work at the endpoint."""
+        self.running: dict[str, set[Job]] = {}
+        """Requests that are at work at the endpoint, by id."""
         self.refused: Callable[[], None] | None = None
         """Told when nobody listens at the endpoint's address."""
         self.counts = {"offered": 0, "ran": 0, "full": 0, "maybe": 0, "gone": 0, "dropped": 0}
@@ -125,6 +125,10 @@
         """Whether a request with this id is at work at the endpoint."""
         return request_id in self.running
 
+    def repeats(self, request_id: str) -> bool:
+        """Whether a run of this request that is at work at the endpoint is a repeat: its calls are repeats, too."""
+        return any(job.load.repeat for job in self.running.get(request_id, ()))
+
     def admit(self, endpoint: str, address: Address, slots: int) -> None:
         """The endpoint there is from now on."""
         if endpoint != self.endpoint:
@@ -207,12 +211,11 @@
                 self.begin(job)
 
     def begin(self, job: Job) -> None:
-        load = job.load
         if job.timer is not None:
             job.timer.cancel()
         job.timer = self.loop.call_later(max(0.0, job.expires_at - self.loop.time()), self.expire, job)
         self.counts["offered"] += 1
-        self.running[load.id] = self.running.get(load.id, 0) + 1
+        self.running.setdefault(job.load.id, set()).add(job)
         job.begun = self.loop.time()
         self.visit(job)
 
@@ -266,9 +269,10 @@
 
     def stopped(self, job: Job) -> None:
         """It is at work no more."""
-        left = self.running.pop(job.load.id, 1) - 1
-        if left > 0:
-            self.running[job.load.id] = left
+        jobs = self.running.get(job.load.id, set())
+        jobs.discard(job)
+        if not jobs:
+            self.running.pop(job.load.id, None)
 
     def turn_back(self, job: Job, verdict: Verdict, why: str) -> None:
         """A job that has not begun goes elsewhere."""
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -73,7 +73,13 @@
         self.keeper.refused = self.on_refused
         self.flights = Flights(self.make_flight)
         self.egress = Egress(
-            self.node.descriptors, self.host, self.node.active, self.flights, boot.service, self.keeper.runs
+            self.node.descriptors,
+            self.host,
+            self.node.active,
+            self.flights,
+            boot.service,
+            self.keeper.runs,
+            self.keeper.repeats,
         )
         self.desks: list[tuple[Desk, str]] = [(self.egress, "Egress")]
         self.servers: list[asyncio.Server] = []
