--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -72,7 +72,13 @@
         self.endpoint = OwnEndpoint(boot, self.node, self.keeper)
         self.flights = Flights(self.make_flight)
         self.egress = Egress(
-            self.node.descriptors, self.host, self.node.active, self.flights, boot.service, self.keeper.runs
+            self.node.descriptors,
+            self.host,
+            self.node.active,
+            self.flights,
+            boot.service,
+            self.keeper.runs,
+            self.keeper.repeats,
         )
         self.desks: list[tuple[Desk, str]] = [(self.egress, "Egress")]
         self.servers: list[asyncio.Server] = []
