--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -213,7 +213,8 @@
             self.bytes += act.message.ByteSize()
         super().send(m, act)
 
-    def put(self, ip: str, base: int, generation: int) -> None:
+    def put_padded(self, ip: str, base: int, generation: int) -> None:
+        """Ask for a configuration of the world's size."""
         replica = self.machines[ip].replica
         assert replica is not None
         self.calls += 1
@@ -232,7 +233,7 @@
         (leader,) = world.leaders()
         before_messages, before_bytes, began = world.messages, world.bytes, world.now
         for n in range(1, changes + 1):
-            world.put(leader, n - 1, n)
+            world.put_padded(leader, n - 1, n)
             world.run(0.2)
         span = world.now - began
         replica = world.machines[leader].replica
