Large configurations are taken by the leader only: others answer 307, and none travels on the links between members

Cause: an order of 4 MB that a follower hands on, or a read's answer to one that lags, is one frame on the link that carries heartbeats: 32 s at 1 Mbit/s (named by the catch-up part as what remains). Change: above 64 kB a follower names the leader's address (307, which callers follow twice); the command line follows, too. Smaller ones are handed on as before. Ruled out: handing on by name and blocks; it would need a second exchange, and the caller can reach the leader itself.

--- a/tests/mesh/test_operator_calls.py
+++ b/tests/mesh/test_operator_calls.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 from mesh.cluster import Mesh, config, run, until
+from zinclever.mesh.operator_cli import asking
 from zinclever.mesh.roles.control import ControlRole
-from zinclever.mesh.transport.mesh_pb2 import ControlCall, ControlReply, LogEntry
+from zinclever.mesh.transport.mesh_pb2 import ControlCall, ControlReply, LogEntry, Voter
 
 CALLER_TIMEOUT = 1.0  # s of silence after which an operator goes on to another member
 
@@ -58,6 +59,10 @@
         await until(lambda: all(m.replica.leader == leader.me.disk for m in self.members))
         return leader, next(m for m in self.members if m is not leader)
 
+    def led_by(self, member: ControlRole) -> Voter:
+        """The leader, as a member knows it."""
+        return next(v for v in member.replica.voters() if v.disk == member.replica.leader)
+
     async def put(self, at: ControlRole, generation: int, base: int) -> int:
         text = json.dumps(config("a", generation=generation)).encode()
         return await self.replace(at, text, str(base))
@@ -123,6 +128,71 @@
         run(test)
 
 
+class LargeConfigurations(unittest.TestCase):
+    """They never travel on the link between two members, where heartbeats would wait behind them."""
+
+    def large(self, generation: int) -> bytes:
+        """Of more than 100 kB: a table that nobody here knows makes it long."""
+        return json.dumps({**config("a", generation=generation), "Notes": "x" * 100_000}).encode()
+
+    def test_a_follower_sends_the_caller_to_the_leader(self) -> None:
+        async def test() -> None:
+            async with Core() as core:
+                leader, follower = await core.led()
+                await until(lambda: bool(follower.operator_calls.address_of(leader.me)))
+                handed_on: list[ControlCall] = []
+                leader.node.frames["ask"] = lambda link, frame: handed_on.append(frame.ask)
+                status, headers, _ = await core.call(
+                    follower, "POST", "/v1/config/replace", self.large(1), X_Base_Version="0"
+                )
+                there = f"{leader.boot.ip}:{core.mesh.port + 2}"
+                self.assertEqual((status, headers["location"]), (307, f"http://{there}/v1/config/replace"))
+                self.assertEqual(handed_on, [])
+                self.assertEqual(await core.replace(leader, self.large(1), "0"), 200)
+
+        run(test)
+
+    def test_a_reader_is_sent_to_the_leader_by_one_that_lags(self) -> None:
+        async def test() -> None:
+            async with Core() as core:
+                leader, follower = await core.led()
+                self.assertEqual(await core.put(leader, 1, 0), 200)
+                await until(lambda: follower.replica.committed.generation == 1)
+                lagging = LogEntry()
+                lagging.CopyFrom(follower.replica.committed)
+                self.assertEqual(await core.replace(leader, self.large(2), "1"), 200)
+                await until(lambda: follower.replica.committed.generation == 2)
+                self.assertEqual((await core.read(follower))[0], 200)
+                follower.replica.committed = lagging
+                status, headers, _ = await core.call(follower, "GET", "/v1/config/read")
+                there = f"{leader.boot.ip}:{core.mesh.port + 2}"
+                self.assertEqual((status, headers["location"]), (307, f"http://{there}/v1/config/read"))
+                self.assertEqual((await core.read(leader))[0], 200)
+
+        run(test)
+
+    def test_the_command_line_follows(self) -> None:
+        async def test() -> None:
+            async with Core() as core:
+                _, follower = await core.led()
+                await until(lambda: bool(follower.operator_calls.address_of(core.led_by(follower))))
+                status, _, by = await follower.loop.run_in_executor(
+                    None,
+                    lambda: asking.ask(
+                        [f"{follower.boot.ip}:{core.mesh.port + 2}"],
+                        "POST",
+                        "/v1/config/replace",
+                        self.large(1),
+                        {"X-Base-Version": "0"},
+                        within=asking.CHANGE_WITHIN,
+                    ),
+                )
+                self.assertEqual(status, 200)
+                self.assertNotIn(follower.boot.ip + ":", by)
+
+        run(test)
+
+
 class UnclearInTime(unittest.TestCase):
     """Without a leader that a majority confirms a call has no clear answer, within the time that its caller waits."""
 
--- a/zinclever/mesh/operator_cli/asking.py
+++ b/zinclever/mesh/operator_cli/asking.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import http.client
-from typing import Any
+from typing import Any, NamedTuple
+from urllib.parse import urlsplit
 
 import orjson
 
@@ -12,6 +13,44 @@
 
 WITHIN = 2.0  # s in which a live replica answers; a change may take longer
 CHANGE_WITHIN = 6.0
+MAX_REDIRECTS = 2  # a large configuration is taken by the leader only: others send the caller there
+
+
+class Response(NamedTuple):
+    """What a replica answered; ``by``: its address."""
+
+    status: int
+    text: bytes
+    location: str
+    by: str
+
+
+def request_following(
+    name: str, method: str, path: str, body: bytes, headers: dict[str, str], within: float
+) -> Response:
+    """The answer of a replica, or of the one that it sends the caller to. OSError where it can't be reached."""
+    answer = request(name, method, path, body, headers, within)
+    for _ in range(MAX_REDIRECTS):
+        if answer.status != 307:
+            break
+        target = urlsplit(answer.location)
+        answer = request(target.netloc, method, target.path, body, headers, within)
+    return answer
+
+
+def request(name: str, method: str, path: str, body: bytes, headers: dict[str, str], within: float) -> Response:
+    """One call to one replica. OSError where it can't be reached, MeshError where its address is none."""
+    try:
+        host, port = read_address(name)
+    except ValueError as wrong:
+        raise MeshError("ADDRESS", str(wrong), name) from None
+    connection = http.client.HTTPConnection(host, port, timeout=within)
+    try:
+        connection.request(method, path, body or None, {"Content-Type": "application/json", **headers})
+        answer = connection.getresponse()
+        return Response(answer.status, answer.read(), answer.getheader("Location", ""), name)
+    finally:
+        connection.close()
 
 
 def ask(
@@ -23,27 +62,18 @@
     within: float = WITHIN,
 ) -> tuple[int, Any, str]:
     """Status, answer and name of the first replica that answers. MeshError with all names where none does."""
-    told: list[str] = []
+    refused: list[str] = []
     for name in core:
         try:
-            host, port = read_address(name)
-        except ValueError as wrong:
-            raise MeshError("ADDRESS", str(wrong), name) from None
-        connection = http.client.HTTPConnection(host, port, timeout=within)
-        try:
-            connection.request(method, path, body or None, {"Content-Type": "application/json", **(headers or {})})
-            answer = connection.getresponse()
-            text = answer.read()
+            answer = request_following(name, method, path, body, headers or {}, within)
         except OSError as wrong:
-            told.append(f"{name} ({wrong})")
+            refused.append(f"{name} ({wrong})")
             continue
-        finally:
-            connection.close()
         if answer.status == 503 and name != core[-1]:
-            told.append(f"{name} (503)")
+            refused.append(f"{name} (503)")
             continue
-        return answer.status, orjson.loads(text) if text else None, name
-    raise MeshError("NOBODY_ANSWERS", "asked " + ", ".join(told))
+        return answer.status, orjson.loads(answer.text) if answer.text else None, answer.by
+    raise MeshError("NOBODY_ANSWERS", "asked " + ", ".join(refused))
 
 
 def must(status: int, told: Any) -> Any:
--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -26,7 +26,7 @@
 from .endpoint_api import Announcer, CoreEndpointApi
 from .endpoint_calls import GONE
 from .node import CONTROL, SIDECAR, Node
-from .operator_calls import OperatorCalls, hand_on
+from .operator_calls import READ_PATH, REPLACE_PATH, OperatorCalls, hand_on
 
 log = logging.getLogger(__name__)
 
@@ -71,8 +71,8 @@
 
     async def start(self) -> None:
         tree: Tree[Handler] = Tree()
-        tree.add("POST /v1/config/replace", self.operator_calls.on_replace)
-        tree.add("GET /v1/config/read", self.operator_calls.on_read)
+        tree.add(f"POST {REPLACE_PATH}", self.operator_calls.on_replace)
+        tree.add(f"GET {READ_PATH}", self.operator_calls.on_read)
         for prefix in ("/v1/mesh", "/v1/hive"):  # the second: as the version before called it
             tree.add(f"GET {prefix}/who", self.on_who)
             tree.add(f"GET {prefix}/endpoints", self.on_endpoints)
--- a/zinclever/mesh/roles/operator_calls.py
+++ b/zinclever/mesh/roles/operator_calls.py
@@ -2,6 +2,9 @@
 
 A call has its answer within a second, unless its configuration is large: the caller gives up after a second of silence,
 and a 503 that comes before lets it go on to another member at once. A 503 states nothing: the change may be committed.
+
+Small configurations are handed on to the leader over the link between the members. Large ones never are, as heartbeats
+would wait behind them: the caller is sent to the leader by a 307.
 """
 
 from __future__ import annotations
@@ -19,14 +22,16 @@
 from ..consensus.replica import Replica
 from ..control_api.desk import Call, refuse, say
 from ..errors import MeshError
+from ..membership.records import NODE
 from ..transport.links import Link
-from ..transport.mesh_pb2 import ControlCall, ControlReply, Frame, Voter
+from ..transport.mesh_pb2 import ControlCall, ControlReply, Frame, NodeInfo, Voter
 from .node import Node
 
 PUT, GET = "put", "get"  # kinds of calls
+REPLACE_PATH, READ_PATH = "/v1/config/replace", "/v1/config/read"
 FORWARDING_TIME = 0.2  # s by which a call may take longer than at the leader, to find it and to be handed on
 FIND_LEADER_INTERVAL = 0.05  # s between two looks at who leads
-LARGE = 64 * 1024  # bytes of a configuration from which on it is checked in a thread
+LARGE = 64 * 1024  # bytes of a configuration from which on it is checked in a thread, and not handed on
 MAX_VERSION_DIGITS = 19  # of a version, so that it stays below 2 ** 64
 
 
@@ -64,6 +69,8 @@
             voter = next((v for v in self.replica.voters() if v.disk == leader), None)
             if self.replica.role is ReplicaRole.LEADER:
                 status, text = await self.settle_here(ask)
+            elif voter is not None and len(ask.text) > LARGE and self.address_of(voter):
+                return 307, self.address_of(voter).encode()
             elif voter is not None:
                 status, text = await self.hand_on(voter, ask, left)
             else:
@@ -82,14 +89,23 @@
         digest = hashlib.blake2b(ask.text, digest_size=16).digest()
         return await self.ask(lambda n: self.replica.put(now, n, ask.base, configuration.generation, ask.text, digest))
 
+    def address_of(self, voter: Voter) -> str:
+        """Where a member takes calls, as host:port; empty where that isn't known."""
+        records = self.node.gossip.records.all(NODE)
+        nodes = (NodeInfo.FromString(record.body) for record in records)
+        return next((n.control_address for n in nodes if (n.ip, n.port) == (voter.ip, voter.port)), "")
+
     async def hand_on(self, voter: Voter, ask: ControlCall, within: float) -> tuple[int, bytes]:
-        """Have the leader answer. A read takes its text from here where the leader has the same: a large one is not
-        sent over a slow link."""
+        """Have the leader answer. A read takes its text from here where the leader has the same; where it has not, and
+        the text is large, the caller is sent there."""
         if ask.kind != GET:
             return await hand_on(self.node, voter, ask, within)
         committed = self.replica.committed
         asked = ControlCall(kind=GET, number=committed.number, digest=self.replica.digest)
         reply = await hand_on_call(self.node, voter, asked, within)
+        if reply.status == 307:
+            address = self.address_of(voter)
+            return (307, address.encode()) if address else (503, b"the leader's address is not known")
         return reply.status, committed.text if reply.held else reply.text
 
     def on_ask(self, link: Link, frame: Frame) -> None:
@@ -116,6 +132,8 @@
         held = (ask.number, ask.digest) == (committed.number, self.replica.digest)
         if ask.kind == GET and status == 200 and held and text == committed.text:
             return ControlReply(status=200, held=True)
+        if ask.kind == GET and ask.digest and len(text) > LARGE:
+            return ControlReply(status=307)  # one that names what it holds understands that
         return ControlReply(status=status, text=text)
 
     async def on_replace(self, call: Call) -> Answer:
@@ -131,6 +149,8 @@
         status, why = await self.settle(ControlCall(kind=PUT, base=int(base), text=text))
         if status == 200:
             return say(200, {"Generation": configuration.generation})
+        if status == 307:
+            return see_leader(why, REPLACE_PATH)
         return refuse(
             status,
             MeshError(
@@ -143,9 +163,16 @@
         status, text = await self.settle(ControlCall(kind=GET))
         if status == 200:
             return Answer(200, b"Content-Type: application/json\r\n", text)
+        if status == 307:
+            return see_leader(text, READ_PATH)
         return refuse(status, MeshError("CONFIG_UNKNOWN", text.decode("utf-8", "replace")))
 
 
+def see_leader(address: bytes, path: str) -> Answer:
+    """Send the caller to the leader."""
+    return Answer(307, b"Location: http://%b%b\r\n" % (address, path.encode()), b"")
+
+
 async def hand_on(node: Node, voter: Voter, ask: ControlCall, within: float) -> tuple[int, bytes]:
     """Ask another process: the status and text of its answer."""
     reply = await hand_on_call(node, voter, ask, within)
