--- /dev/null
+++ b/tests/mesh/test_entries.py
@@ -0,0 +1,135 @@
+"""Entries that come late, and copies that differ from the others."""
+
+from __future__ import annotations
+
+import unittest
+
+from mesh.cases import params
+from zinclever.mesh.consensus import messages as orders
+from zinclever.mesh.consensus.quorum import digest
+from zinclever.mesh.consensus.replica import Replica
+from zinclever.mesh.model.members import World
+from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry
+
+
+def up(seed: int = 1, members: int = 3) -> World:
+    """A world whose first voters stands."""
+    w = World(seed, members)
+    w.run(2.0)
+    return w
+
+
+class Repair(unittest.TestCase):
+    """Copies are compared by digests; one that differs from a majority is mended, on its disk, too."""
+
+    def spoil(self, w: World, ip: str) -> None:
+        replica = w.machines[ip].replica
+        assert replica is not None and replica.accepted is not None
+        for entry in (replica.committed, replica.accepted):
+            entry.text = b"spoilt"
+        replica.digest = digest(replica.committed)
+
+    def test_a_copy_that_differs(self) -> None:
+        w = up()
+        (ip,) = w.leaders()
+        w.put(ip, 0, 5)
+        w.run(0.5)
+        other = next(o for o in w.machines if o != ip)
+        self.spoil(w, other)
+        w.run(1.5)
+        m = w.machines[other]
+        assert m.replica is not None and m.disk.accepted is not None
+        self.assertEqual((m.replica.committed.text, m.disk.accepted.text), (b"config 5", b"config 5"))
+        w.put(ip, 5, 6)
+        w.run(0.5)
+        self.assertIn(6, w.acked)
+
+    def test_the_one_that_acts_mends_nobody_alone(self) -> None:
+        w = up()
+        (ip,) = w.leaders()
+        w.put(ip, 0, 5)
+        w.run(0.5)
+        self.spoil(w, ip)
+        w.run(1.5)
+        texts = sorted(m.replica.committed.text for m in w.machines.values() if m.replica is not None)
+        self.assertEqual(texts, [b"config 5", b"config 5", b"spoilt"])
+
+    def test_a_vote_for_what_follows_stays(self) -> None:
+        """One that has promised the next entry, and is mended in the one before, still has the next."""
+        w = up()
+        (ip,) = w.leaders()
+        w.put(ip, 0, 5)
+        w.run(0.5)
+        other = next(o for o in w.machines if o != ip)
+        replica = w.machines[other].replica
+        assert replica is not None and replica.accepted is not None
+        ahead = LogEntry()
+        ahead.CopyFrom(replica.accepted)
+        ahead.number, ahead.text = ahead.number + 1, b"next"
+        replica.accepted = ahead
+        sound = LogEntry()
+        sound.CopyFrom(replica.committed)
+        replica.committed.text = b"spoilt"
+        replica.digest = digest(replica.committed)
+        replica.take_committed(w.now, sound)
+        self.assertEqual((replica.committed.text, replica.accepted.text), (b"config 5", b"next"))
+        self.assertFalse([a for a in replica.out if isinstance(a, orders.Persist)])
+
+
+class LateEntries(unittest.TestCase):
+    """Messages of one leader that overtake each other: found by the explorer, after a pause."""
+
+    def follower(self) -> tuple[World, Replica]:
+        w = up()
+        (ip,) = w.leaders()
+        replica = next(m.replica for o, m in w.machines.items() if o != ip)
+        assert replica is not None
+        replica.out.clear()
+        return w, replica
+
+    def append(self, w: World, replica: Replica, number: int, term: int = 1) -> None:
+        entry = LogEntry(term=term, number=number, voters=replica.committed.voters, founding_size=3)
+        leader = next(v for v in replica.committed.voters if v.disk == replica.leader)
+        message = ConsensusMessage(
+            kind=orders.Kind.APPEND, disk=leader.disk, term=term, number=number, entry=entry, voter=leader
+        )
+        replica.receive(w.now, message)
+
+    def saves(self, w: World, replica: Replica) -> list[int]:
+        """Numbers of the entries that are saved, in order."""
+        saves = [a for a in replica.out if isinstance(a, orders.Persist) and a.accepted is not None]
+        replica.out.clear()
+        for act in saves:
+            replica.persisted(w.now, act.token, True)
+        return [act.accepted.number for act in saves if act.accepted is not None]
+
+    @params("is saved", "is being saved")
+    def test_an_entry_does_not_overwrite_a_later_one(self, case: str) -> None:
+        w, replica = self.follower()
+        self.append(w, replica, 4)
+        saved = self.saves(w, replica) if case == "is saved" else []
+        self.append(w, replica, 3)
+        self.assertEqual(saved + self.saves(w, replica), [4])
+        self.assertEqual(replica.accepted.number if replica.accepted is not None else 0, 4)
+
+    def test_a_committed_entry_does_not_overwrite_a_later_one(self) -> None:
+        w, replica = self.follower()
+        self.append(w, replica, 4)
+        replica.take_committed(
+            w.now, LogEntry(term=1, number=3, voters=replica.committed.voters, founding_size=3, text=b"x")
+        )
+        self.assertEqual(self.saves(w, replica), [4])
+
+    def test_a_leader_of_before_does_not_overwrite_what_was_committed(self) -> None:
+        """The voter has heard what is committed under a higher term, without a vote of its own for it."""
+        w, replica = self.follower()
+        replica.take_committed(w.now, LogEntry(term=5, number=3, voters=replica.committed.voters, founding_size=3))
+        self.assertEqual(self.saves(w, replica), [3])
+        self.append(w, replica, 4, term=1)
+        (answer,) = [a.message for a in replica.out if isinstance(a, orders.Send)]
+        self.assertEqual((answer.granted, answer.round), (False, 5))
+        self.assertEqual(self.saves(w, replica), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/mesh/test_mesh_operators.py
@@ -0,0 +1,112 @@
+"""Operators at a whole mesh: configurations, and the commands that look at it."""
+
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+from typing import Any
+
+from mesh.cluster import Mesh, away, config, run, until
+from zinclever.mesh.consensus.store import read_folder
+from zinclever.mesh.errors import MeshError
+from zinclever.mesh.operator_cli import asking
+
+
+class Operators(unittest.TestCase):
+    def test_changes(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                bad = config("one", generation=2)
+                bad["Routes"]["one-safe"]["Target"] = "nobody"
+                cases: list[tuple[Any, int, int]] = [
+                    (config("one", generation=1), 0, 200),  # the same again
+                    (config("one", generation=2), 0, 412),
+                    (config("one", generation=1), 1, 400),
+                    (bad, 1, 400),
+                    (b'{"Generation"', 1, 400),
+                    (config("one", generation=9), 1, 200),
+                    (config("one", generation=3), 1, 412),
+                ]
+                for told, base, want in cases:
+                    self.assertEqual((await m.put(told, base))[0], want, (told, base))
+                status, _, text = await m.call(f"{m.core}:{m.port + 2}", "GET", "/v1/config/read")
+                self.assertEqual(status, 200)
+                self.assertIn(b'"Generation":9', text)
+                await until(lambda: m.sidecars[0].node.active.generation == 9)
+
+        run(test)
+
+    def test_what_was_acknowledged_is_on_the_disk(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.serve()
+                kept = m.control.store.changes.load()
+                assert kept is not None
+                self.assertIn(b'"Generation":1', kept[b"change"])
+
+        run(test)
+
+    def test_removed_routes(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                self.assertEqual((await m.put(config("two", generation=2), 1))[0], 200)
+                await until(lambda: all(f.node.active.generation == 2 for f in m.sidecars))
+                self.assertEqual((await m.ask("/one/safe/x"))[0], 404)
+                self.assertEqual((await m.ask("/two/safe/x"))[0], 200)
+
+        run(test)
+
+
+class Scouts(unittest.TestCase):
+    """What operators ask, over the command line's own calls."""
+
+    def test_who_view_endpoints_and_the_disk(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"]) as m:
+                await m.serve()
+                core, loop = [f"{m.core}:{m.port + 2}"], m.control.loop
+
+                async def ask(path: str) -> Any:
+                    status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", path)
+                    self.assertEqual(status, 200)
+                    return told
+
+                nodes = (await ask("/v1/mesh/who"))["Nodes"]
+                self.assertEqual([b["Standing"] for b in nodes], ["live"] * 3)
+                self.assertEqual([e["Phase"] for e in (await ask("/v1/mesh/endpoints"))["Endpoints"]], ["ready"] * 2)
+                view = await ask("/v1/mesh/view")
+                self.assertEqual((view["Role"], view["Generation"], len(view["Voters"])), ("LEADER", 1, 1))
+                self.assertEqual((view["Disk"]["mended"], view["Disk"]["refused"]), (0, 0))
+                self.assertEqual((view["Disk"]["unmarked"], view["Texts"]["given_up"]), (0, 0))
+                told = read_folder(Path(m.folder.name) / "disk")
+                self.assertEqual((told["Disk"], told["Generation"]), (view["Leader"], 1))
+
+        run(test)
+
+    def test_why_a_request_was_refused(self) -> None:
+        async def test() -> None:
+            async with Mesh(["one", "two"], {0: away}) as m:
+                await m.serve()
+                self.assertEqual((await m.ask("/one/unsafe/x", "POST", 1, X_Attempt_Id="r-asked"))[0], 503)
+                core, loop = [f"{m.core}:{m.port + 2}"], m.control.loop
+                status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", "/v1/mesh/requests/r-asked")
+                self.assertEqual(status, 200)
+                (found,) = told["Requests"]
+                self.assertEqual((found["Status"], found["Target"]), (503, "one"))
+                self.assertIn(f"{m.apps[0].id}: turned away", found["Tries"])
+                status, told, _ = await loop.run_in_executor(None, asking.ask, core, "GET", "/v1/mesh/requests/r-0")
+                self.assertEqual((status, told["Error"]["Code"]), (404, "REQUEST_UNKNOWN"))
+
+        run(test)
+
+    def test_nobody_answers(self) -> None:
+        with self.assertRaises(MeshError) as caught:
+            asking.ask(["127.0.0.1:1", "127.0.0.2:1"], "GET", "/v1/mesh/who")
+        self.assertEqual(caught.exception.code, "NOBODY_ANSWERS")
+        self.assertIn("127.0.0.2:1", str(caught.exception))
+
+
+if __name__ == "__main__":
+    unittest.main()
