--- a/benchmarks/capacity_plan.py
+++ b/benchmarks/capacity_plan.py
@@ -167,7 +167,7 @@
             "per s",
             f"one at a time: a round trip and two syncs; needed at the peak: {figure(CHANGES * PEAK)}",
         ),
-        Row("orders remembered", 256 / CHANGES, "s", "256 of them; a retry later than that is refused"),
+        Row("orders remembered", 256 / CHANGES, "s", "256 of them; a retry later than that gets no clear answer"),
         Row("fetches", SIDECARS * m[PACKED].at(ROUTES) * CHANGES, "B/s", "all sidecars together, each change whole"),
     ]
 
