Election: candidates that disagree on who led agree on the order after a round without a leader

Change: a candidate whose round ends without a leader forgets who led, so that all count from the start of the set. Ruled out: draws of random spans, which would only make it shorter.

--- a/tests/mesh/test_consensus.py
+++ b/tests/mesh/test_consensus.py
@@ -180,7 +180,7 @@
             w.run(0.2)
             self.assertEqual(len(w.leaders()), 1)
 
-    def test_two_that_courted_under_one_epoch(self) -> None:
+    def test_two_candidates_under_one_term(self) -> None:
         """The second one has vowed the term to itself when the first has its majority, and then follows it. The third
         is lost: nothing is committed without the second, which refuses that term for good."""
         w = up()
@@ -207,6 +207,21 @@
             w.run(1.0)
         self.assertIn(6, w.acked)
 
+    @params(*range(8))
+    def test_two_candidates_that_disagree_on_who_led(self, seed: int) -> None:
+        """The third is gone. One stood still and stepped down, and has forgotten that it led; the other knows it: each
+        takes itself to be the first in line, and both stand at the same instants."""
+        w = up(seed)
+        a, b = (w.machines[f"10.0.0.{n}"].replica for n in range(2))
+        assert a is not None and b is not None
+        w.kill("10.0.0.2")
+        for replica in (a, b):
+            replica.become(ReplicaRole.FOLLOWER, w.now)
+            replica.leader_heard_at = w.now - 0.6
+        a.leader, b.leader = "", a.me.disk
+        w.run(5.0)
+        self.assertEqual(len(w.leaders()), 1)
+
     def test_a_change_of_view_needs_the_old_one_no_more(self) -> None:
         """All power is gone right after one was replaced, then another is lost for good: the rest are a majority of the
         voters in force, and have to know that those of the one before have no send any more."""
--- a/zinclever/mesh/consensus/election.py
+++ b/zinclever/mesh/consensus/election.py
@@ -99,9 +99,16 @@
             self.commit(now, committed)
         if self.me.disk not in disk_ids(best.voters):
             self.become(ReplicaRole.FOLLOWER if self.is_voter() else ReplicaRole.LEARNER, now)
+            self.let_others_stand(now)
             return
         self.become(ReplicaRole.LEADER, now)
         again = LogEntry()
         again.CopyFrom(best)
         again.term = self.term
         self.propose(now, again)
+
+    def let_others_stand(self, now: float) -> None:
+        """The entry to go on from has other voters: each of them stands before this one does again, as its requests
+        for votes would put theirs off."""
+        self.leader = ""
+        self.leader_heard_at = now + ELECTION_STAGGER * len(self.voters())
--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -51,6 +51,7 @@
             if now - self.role_since > ELECTION_ROUND:
                 self.become(ReplicaRole.FOLLOWER, now)
                 self.leader_heard_at = now - ELECTION_TIMEOUT  # the next in order gets its turn, too
+                self.leader = ""  # candidates that took different members for the leader agree on the order now
             elif now - self.votes_requested_at > HEARTBEAT_INTERVAL:
                 self.request_votes(now)
         else:
