--- a/tests/mesh/test_repairs.py
+++ b/tests/mesh/test_repairs.py
@@ -123,7 +123,13 @@
                 if m.kind == Kind.LEAVE:
                     self.send(
                         m.voter,
-                        ConsensusMessage(kind=Kind.LEAVE_REPLY, disk=self.me.disk, term=self.term, granted=True),
+                        ConsensusMessage(
+                            kind=Kind.LEAVE_REPLY,
+                            disk=self.me.disk,
+                            term=self.term,
+                            granted=True,
+                            number=self.committed.number,
+                        ),
                     )
 
         self.assertFalse(any(self.loses(seed, Replica) for seed in range(4)))
--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -134,7 +134,13 @@
             if told is not None:
                 self.send(
                     told.voter,
-                    ConsensusMessage(kind=Kind.LEAVE_REPLY, disk=self.me.disk, term=self.term, granted=True),
+                    ConsensusMessage(
+                        kind=Kind.LEAVE_REPLY,
+                        disk=self.me.disk,
+                        term=self.term,
+                        granted=True,
+                        number=self.committed.number,
+                    ),
                 )
 
     def catch_up(self, now: float) -> None:
@@ -231,6 +237,13 @@
         elif m.kind == Kind.LEAVE:
             self.voter_changes.leaves(now, m.disk)
         elif m.kind == Kind.LEAVE_REPLY and m.granted and m.disk == self.leader and m.term >= self.vote.term:
+            self.on_leave_reply(m)
+
+    def on_leave_reply(self, m: ConsensusMessage) -> None:
+        """The leader has made sure that entries up to this number are on enough other disks. From now on this member
+        acknowledges no further one, as nothing would make sure of that."""
+        last = self.last_accepted()
+        if last is None or last.number <= m.number:
             self.let_go = self.leaving
 
     def on_heartbeat(self, now: float, m: ConsensusMessage) -> None:
--- a/zinclever/mesh/consensus/replication.py
+++ b/zinclever/mesh/consensus/replication.py
@@ -49,6 +49,8 @@
         return made
 
     def on_append(self, now: float, m: ConsensusMessage) -> None:
+        if self.let_go:
+            return  # it may end at any moment, for good: an entry that counted on its disk could be lost with it
         entry = m.entry
         last = self.last_accepted()
         promised = max(self.vote.term, last.term if last is not None else 0)
