--- a/zinclever/mesh/model/explore.py
+++ b/zinclever/mesh/model/explore.py
@@ -95,16 +95,19 @@
 
     def calm(self, state: State) -> None:
         """All that is under way arrives, in its order, but at members that stand still."""
-        while True:
-            n = next((n for n, (to, _) in enumerate(state.post) if to not in state.paused), None)
-            writing = next((n for n, acts in enumerate(state.persisting) if acts and n not in state.paused), None)
-            if writing is not None:
-                self.sync(state, writing)
-            elif n is not None:
-                to, data = state.post.pop(n)
-                self.receive(state, to, data)
-            else:
-                return
+        while self.advance(state):
+            pass
+
+    def advance(self, state: State) -> bool:
+        """The next of what is under way takes place, if there is any: saves first, then messages in their order."""
+        writing = next((n for n, acts in enumerate(state.persisting) if acts and n not in state.paused), None)
+        n = next((n for n, (to, _) in enumerate(state.post) if to not in state.paused), None)
+        if writing is not None:
+            self.sync(state, writing)
+        elif n is not None:
+            to, data = state.post.pop(n)
+            self.receive(state, to, data)
+        return writing is not None or n is not None
 
     # --- the search ---
 
@@ -129,9 +132,9 @@
 
     def moves(self, state: State) -> Iterator[State]:
         yield from self.moves_of_messages(state)
-        for n in range(3):
+        for n in range(len(state.orders)):
             yield from self.moves_of_member(state, n)
-            if state.orders[n].role is ReplicaRole.LEADER:
+            if state.orders[n].role is ReplicaRole.LEADER and n not in state.off:
                 yield from self.moves_of_operators(state, n)
         if state.budget.turns:
             made = state.copy()
@@ -229,13 +232,13 @@
     def turn(self, state: State) -> None:
         """Time passes, in which those that run hear each other."""
         state.now += ELECTION_STAGGER
-        running = [o for n, o in enumerate(state.orders) if n not in state.paused]
+        running = [o for n, o in enumerate(state.orders) if n not in state.paused | state.off]
         state.resumed.clear()
         for o in running:
             for other in running:
                 if other is not o:
                     o.heard_at[other.me.disk] = state.now
-            o.ticked_at = state.now  # it has had turns all the while
+            o.ticked_at = o.voter_changes.ticked_at = state.now  # it has had turns all the while
             o.tick(state.now)
         self.settle_down(state)
 
@@ -291,7 +294,7 @@
     def post(self, state: State, n: int, act: Send) -> None:
         data = act.message.SerializeToString(deterministic=True)
         to = next((k for k, s in enumerate(self.voters) if s.ip == act.to.ip), None)
-        if to is None:
+        if to is None or to in state.off:
             return
         if to == n or (act.message.kind == Kind.HEARTBEAT and to not in state.paused):
             state.orders[to].receive(state.now, ConsensusMessage.FromString(data))
@@ -313,11 +316,18 @@
             self.judged[state.history] = linearizable(state.history)
         if not self.judged[state.history]:
             raise Broken(f"no order of the calls explains what they were told: {state.history}")
+        self.check_durable(state)
+        self.check_terms(state)
+
+    def check_durable(self, state: State) -> None:
+        """What is acknowledged is on enough disks, also after one more loss."""
         for call in state.history:
             if call.kind == "put" and call.told is Told.DONE:
                 have = sum(d[1] is not None and d[1].generation >= call.generation for d in state.disk_ids)
                 if have < 2 - (state.names != ["d0", "d1", "d2"]):
                     raise Broken("what is acknowledged is on fewer disks than may be lost")
+
+    def check_terms(self, state: State) -> None:
         for n, o in enumerate(state.orders):
             if o.vote.term < state.terms[n]:
                 raise Broken("a term goes back")
--- a/zinclever/mesh/model/explored_state.py
+++ b/zinclever/mesh/model/explored_state.py
@@ -1,4 +1,4 @@
-"""A state of the explorer: three members, what is under way between them, what operators were told. Its copies and its
+"""A state of the explorer: the members, what is under way between them, what operators were told. Its copies and its
 key."""
 
 from __future__ import annotations
@@ -25,6 +25,15 @@
     pauses: int = 0
     changes: int = 0
     reads: int = 0
+    waits: int = 0
+    """Spans of time long enough for a silent voter to be replaced."""
+    leaves: int = 0
+    forced_ends: int = 0
+    """Members that are about to leave and are ended before the leader has let them go."""
+    destroyed: int = 0
+    """Machines that are lost for good, with their disk."""
+    joins: int = 0
+    """New machines with an empty disk."""
 
 
 @dataclass
@@ -44,6 +53,15 @@
     paused: set[int] = field(default_factory=set)
     resumed: set[int] = field(default_factory=set)
     """Those that run again and have had no turn since."""
+    off: set[int] = field(default_factory=set)
+    """Those that don't run now: not started yet, ended, or destroyed."""
+    destroyed: set[int] = field(default_factory=set)
+    let_go: set[int] = field(default_factory=set)
+    """Those that ended after the leader had let them go: they may never come back."""
+    lost_disks: set[str] = field(default_factory=set)
+    """Disks whose loss is not over: no successor has taken their place with what is committed."""
+    newest: LogEntry | None = None
+    """The newest committed entry, while the voters are explored."""
 
     def copy(self) -> State:
         """A state to be changed by a move."""
@@ -61,6 +79,11 @@
             list(self.terms),
             set(self.paused),
             set(self.resumed),
+            set(self.off),
+            set(self.destroyed),
+            set(self.let_go),
+            set(self.lost_disks),
+            self.newest,
         )
 
     def age(self, instant: float) -> float:
@@ -91,10 +114,27 @@
                 ],
                 sorted((disk, self.age(at)) for disk, at in o.heard_at.items()),
                 [(a.vote, a.token - o.token) for a in s],
+                self.voter_changes_of(o),
             )
             made.update(repr(told).encode())
             for entry in (o.accepted, o.committed, o.proposed, d[1]):
                 made.update(b"-" if entry is None else entry.SerializeToString(deterministic=True))
         rest = (sorted(self.post), self.budget, self.history, sorted(self.paused), sorted(self.resumed))
         made.update(repr(rest).encode())
+        machines = (sorted(self.off), sorted(self.destroyed), sorted(self.let_go), sorted(self.lost_disks), self.names)
+        made.update(repr(machines).encode())
         return made.digest()
+
+    def voter_changes_of(self, replica: Replica) -> tuple[object, ...]:
+        """What a replica knows of members that leave or want to be voters, for the key."""
+        known = replica.voter_changes
+        return (
+            replica.leaving,
+            replica.let_go,
+            sorted((disk, self.age(at)) for disk, at in known.leaving.items()),
+            sorted((disk, self.age(since)) for disk, (_, since) in known.newcomers.items()),
+            sorted(known.stored.items()),
+            sorted((disk, self.age(at)) for disk, at in known.sent_at.items()),
+            self.age(known.resumed_at),
+            sorted(replica.told.items()),
+        )
