--- a/zinclever/mesh/model/explore_voters.py
+++ b/zinclever/mesh/model/explore_voters.py
@@ -35,6 +35,7 @@
     """What has happened before the exploration begins."""
 
     FOLLOWER_LEAVES = "a version is acknowledged, a follower has asked to leave, and another version was ordered"
+    LET_GO = "a version is acknowledged, and a follower that asked to leave was let go and has not ended yet"
     LEADER_LEAVES = "a version is acknowledged, another was ordered, and the leader has handed over to leave"
     REPLACEMENT = "a machine is destroyed, its successor has the state, and the change of the voters is proposed"
     REPLACED = "a machine is destroyed, its successor is a voter, and the entry after that is being committed"
@@ -57,10 +58,12 @@
         self.liveness_every = liveness_every
         self.checked = self.recovered = 0
         state = self.start
+        state.held = dict.fromkeys(state.names, 1)
         self.calm(state)  # the first of the two changes is acknowledged
         self.add_standby(state)
         prepare = {
             VoterStart.FOLLOWER_LEAVES: self.prepare_follower_leaves,
+            VoterStart.LET_GO: self.prepare_let_go,
             VoterStart.LEADER_LEAVES: self.prepare_leader_leaves,
             VoterStart.REPLACEMENT: self.prepare_replacement,
             VoterStart.REPLACED: self.prepare_replaced_voter,
@@ -87,6 +90,14 @@
         self.leave(state, 2)
         self.ask_change(state, 0, 1, 3)
 
+    def prepare_let_go(self, state: State) -> None:
+        self.leave(state, 2)
+        for _ in range(3):
+            self.calm(state)
+            self.wait(state)
+        self.calm(state)
+        assert state.orders[2].let_go, "the follower was not let go"
+
     def prepare_leader_leaves(self, state: State) -> None:
         self.ask_change(state, 0, 1, 3)
         self.leave(state, 0)
@@ -265,6 +276,13 @@
             o.tick(state.now)
         self.settle_down(state)
 
+    def sync(self, state: State, n: int) -> None:
+        accepted = state.persisting[n][0].accepted
+        if accepted is not None:
+            name = state.names[n]
+            state.held[name] = max(accepted.number, state.held.get(name, 0))
+        super().sync(state, n)
+
     def settle_down(self, state: State) -> None:
         super().settle_down(state)
         self.note_repairs(state)
@@ -303,13 +321,13 @@
         """As an entry is committed first."""
         if len(entry.voters) < target_size(entry.founding_size, LOSSES):
             raise Broken("there are fewer voters than the fault model needs")
-        holders = self.holders(state, entry.number) | state.lost_disks
+        holders = {disk for disk, number in state.held.items() if number >= entry.number}
         if len(holders & set(disk_ids(entry.previous_voters))) < majority(len(entry.previous_voters)):
             raise Broken("an entry is committed without a majority of the voters before it")
         if len(holders & set(disk_ids(entry.voters))) < commit_quorum(len(entry.voters), LOSSES):
             raise Broken("an entry is committed on fewer disks of its voters than the fault model needs")
         added = set(disk_ids(entry.voters)) - set(disk_ids(entry.previous_voters))
-        if not added <= self.holders(state, 1) | state.lost_disks:
+        if not added <= state.held.keys():
             raise Broken("a voter is added that doesn't have the state")
 
     def check(self, state: State) -> None:
@@ -337,6 +355,9 @@
         a voter, or if no disk is lost besides."""
         made = state.copy()
         made.paused.clear()
+        for n, replica in self.running(made):
+            if replica.let_go:
+                self.end(made, n, by_agreement=True)
         voters = [] if made.newest is None else disk_ids(made.newest.voters)
         for n in sorted(made.off - made.destroyed):
             needed = made.names[n] in voters and (n not in made.let_go or made.lost_disks)
--- a/zinclever/mesh/model/explored_state.py
+++ b/zinclever/mesh/model/explored_state.py
@@ -60,6 +60,8 @@
     """Those that ended after the leader had let them go: they may never come back."""
     lost_disks: set[str] = field(default_factory=set)
     """Disks whose loss is not over: no successor has taken their place with what is committed."""
+    held: dict[str, int] = field(default_factory=dict)
+    """By disk, also a lost one: the newest entry that has been on it, while the voters are explored."""
     newest: LogEntry | None = None
     """The newest committed entry, while the voters are explored."""
 
@@ -83,6 +85,7 @@
             set(self.destroyed),
             set(self.let_go),
             set(self.lost_disks),
+            dict(self.held),
             self.newest,
         )
 
@@ -122,6 +125,7 @@
         rest = (sorted(self.post), self.budget, self.history, sorted(self.paused), sorted(self.resumed))
         made.update(repr(rest).encode())
         machines = (sorted(self.off), sorted(self.destroyed), sorted(self.let_go), sorted(self.lost_disks), self.names)
+        made.update(repr(sorted(self.held.items())).encode())
         made.update(repr(machines).encode())
         return made.digest()
 
