--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -5,6 +5,7 @@
 python -m benchmarks.mesh order 3 5 7 9
 python -m benchmarks.mesh losses 3 5
 python -m benchmarks.mesh explore 40000
+python -m benchmarks.mesh explore-voters 20000
 """
 
 from __future__ import annotations
@@ -16,7 +17,8 @@
 import time
 from dataclasses import replace
 
-from zinclever.mesh.model.explore import Explorer, Start
+from zinclever.mesh.model.explore import Broken, Explorer, Start
+from zinclever.mesh.model.explore_voters import VoterExplorer, VoterStart
 from zinclever.mesh.model.explored_state import Budget
 from zinclever.mesh.model.field import Field, endpoint
 from zinclever.mesh.model.histories import Told
@@ -25,6 +27,8 @@
 LOSS = 0.02  # of datagrams
 LOSS_STEP = 0.04  # s between two instants at which a second loss is tried
 SETTLES = 6.0  # s of simulated time until all have met
+EXPLORED_DEPTH = 40  # moves from the start of an exploration
+LIVENESS_EVERY = 10  # states that are explored for one that is tried for whether a leader is elected again
 
 
 def spread(values: list[float]) -> str:
@@ -211,17 +215,67 @@
     }
     for most in sizes:
         for name, (start, budget) in cases.items():
-            began = time.perf_counter()
-            explorer = Explorer(budget=budget, start=start)
-            states = explorer.explore(most, 30)
-            print(
-                f"{name}: {states} states and {len(explorer.judged)} histories in {time.perf_counter() - began:.0f} s, "
-                f"{'all of them' if states < most else 'broken off there'}, no invariant broken",
-                flush=True,
-            )
+            explore_case(name, Explorer(budget=budget, start=start), most)
+
+
+def explore_voters(sizes: list[int]) -> None:
+    """Every order of events while voters change, breadth first, to so many states; of the states, one in
+    LIVENESS_EVERY is tried for whether a leader is elected again."""
+    quiet = Budget(turns=0, crashes=0, losses=0)
+    cases = {
+        "a follower leaves, a take-over, a change": (VoterStart.FOLLOWER_LEAVES, replace(quiet, turns=1, changes=1)),
+        "a follower leaves, a loss": (VoterStart.FOLLOWER_LEAVES, replace(quiet, changes=1, destroyed=1)),
+        "a follower is ended by force": (VoterStart.FOLLOWER_LEAVES, replace(quiet, turns=1, forced_ends=1)),
+        "two wiped disks, one after the other": (VoterStart.FOLLOWER_LEAVES, replace(quiet, waits=2, wipes=2)),
+        "a follower was let go, a pause": (VoterStart.LET_GO, replace(quiet, waits=1, pauses=1, changes=1)),
+        "a follower was let go, a take-over": (VoterStart.LET_GO, replace(quiet, turns=1, changes=1)),
+        "the leader leaves": (VoterStart.LEADER_LEAVES, replace(quiet, turns=1, forced_ends=1)),
+        "the leader leaves, a wiped disk": (VoterStart.LEADER_LEAVES, replace(quiet, turns=1, wipes=1)),
+        "a replacement, a crash": (VoterStart.REPLACEMENT, replace(quiet, crashes=1, turns=1)),
+        "a replacement, a second loss": (VoterStart.REPLACEMENT, replace(quiet, destroyed=1, turns=1)),
+        "a replacement, a pause, a second loss": (
+            VoterStart.REPLACEMENT,
+            replace(quiet, pauses=1, destroyed=1, turns=1),
+        ),
+        "after a replacement, a second loss": (VoterStart.REPLACED, replace(quiet, destroyed=1, turns=1)),
+        "after a replacement, a wiped disk": (VoterStart.REPLACED, replace(quiet, wipes=1, turns=1, waits=1)),
+        "a planned replacement, a loss": (VoterStart.PLANNED, replace(quiet, waits=1, destroyed=1)),
+        "a planned replacement, a pause, a loss": (
+            VoterStart.PLANNED,
+            replace(quiet, waits=1, turns=1, pauses=1, destroyed=1),
+        ),
+        "a learner joins, a member leaves": (VoterStart.UNHEARD, replace(quiet, waits=2, turns=1, leaves=1)),
+    }
+    for most in sizes:
+        for name, (start, budget) in cases.items():
+            explorer = VoterExplorer(budget=budget, start=start, liveness_every=LIVENESS_EVERY)
+            explore_case(name, explorer, most)
+            print(f"    a leader was elected again from {explorer.recovered} states", flush=True)
+
+
+def explore_case(name: str, explorer: Explorer, most: int) -> None:
+    """Explore to so many states and print what was found."""
+    began = time.perf_counter()
+    try:
+        states = explorer.explore(most, EXPLORED_DEPTH)
+    except Broken as broken:
+        print(f"{name}: BROKEN after {time.perf_counter() - began:.0f} s: {broken}", flush=True)
+        return
+    print(
+        f"{name}: {states} states and {len(explorer.judged)} histories in {time.perf_counter() - began:.0f} s, "
+        f"{'all of them' if states < most else 'broken off there'}, no invariant broken",
+        flush=True,
+    )
 
 
-VERBS = {"news": news, "cut": cut, "order": order, "losses": losses, "explore": explore}
+VERBS = {
+    "news": news,
+    "cut": cut,
+    "order": order,
+    "losses": losses,
+    "explore": explore,
+    "explore-voters": explore_voters,
+}
 
 if __name__ == "__main__":
     VERBS[sys.argv[1]]([int(a) for a in sys.argv[2:]])
--- a/tests/mesh/test_explore_voters.py
+++ b/tests/mesh/test_explore_voters.py
@@ -1,4 +1,4 @@
-"""The replicas, explored while their voters change: leave, replacement, a second loss; and variants broken on purpose."""
+"""The replicas, explored while voters change: leave, replacement, a second loss; and variants broken on purpose."""
 
 from __future__ import annotations
 
