--- a/tests/mesh/test_explore_voters.py
+++ b/tests/mesh/test_explore_voters.py
@@ -55,6 +55,26 @@
         self.assertEqual([len(made.destroyed) for made in explorer.moves_of_losses(state, 0)], [2])
 
 
+class FoundByExploration(unittest.TestCase):
+    """The shortest histories of faults that the exploration has found."""
+
+    def test_two_candidates_that_refuse_each_other(self) -> None:
+        explorer = VoterExplorer(start=VoterStart.REPLACEMENT)
+        state = explorer.start
+        explorer.restart(state, 0)
+        explorer.turn(state)
+        self.assertEqual([state.orders[n].role for n in (0, 1)], [ReplicaRole.CANDIDATE] * 2)
+        explorer.check_recovers(state)
+
+    def test_a_candidate_that_the_entry_to_go_on_from_takes_out(self) -> None:
+        explorer = VoterExplorer(start=VoterStart.PLANNED)
+        state = explorer.start
+        state.paused.add(1)
+        explorer.wait(state)  # the leader proposes voters without it ...
+        explorer.destroy(state, 0)  # ... and is gone
+        explorer.check_recovers(state)
+
+
 class BrokenOnPurpose(unittest.TestCase):
     def assert_found(
         self, kind: type[Replica], start: VoterStart, allowed: Budget, message: str, liveness_every: int = 0
