--- a/zinclever/mesh/transport/links.py
+++ b/zinclever/mesh/transport/links.py
@@ -22,6 +22,7 @@
 UNHEARD_FOR = 1500  # ms for which what was sent may lie unacknowledged: after a cut TCP tries ever more seldom
 SILENT_FOR = 1.0  # s without a byte, while something is asked, after which a link counts as lost
 PING_EACH = 0.1  # s between two looks at links on which something is asked
+TIMER_GRAIN = 0.001  # s by which the loop may run a timer early: it counts whole milliseconds
 DOUBT = 0.15  # s beyond two round trips, of silence or of dialling, after which nothing new is asked there
 LATE = 0.1  # s that a look comes late by, from which on this process stood still, and not the other end
 KEEP_ALIVE_EACH = 0.5  # s without a byte from the other end after which a line that is kept alive asks for one ...
@@ -170,7 +171,7 @@
         """Nothing has come for longer than anything takes: what is new is better asked elsewhere."""
         now = self.loop.time()
         if self.link is None:
-            return self.dialling is not None and now - self.dialled_at > DOUBT + 2 * self.trip
+            return self.dialling is not None and now - self.dialled_at >= DOUBT + 2 * self.trip - TIMER_GRAIN
         return bool(self.calls) and now - self.link.heard_at > PING_EACH + DOUBT + 2 * self.trip
 
     def tell(self, frame: Frame) -> None:
