--- a/tests/mesh/test_explore_voters.py
+++ b/tests/mesh/test_explore_voters.py
@@ -74,6 +74,27 @@
         explorer.destroy(state, 0)  # ... and is gone
         explorer.check_recovers(state)
 
+    def test_an_acknowledgement_of_one_that_was_let_go(self) -> None:
+        explorer = VoterExplorer(start=VoterStart.LET_GO)
+        state = explorer.start
+        state.paused.add(2)
+        explorer.wait(state)  # the leader forgets that it leaves
+        explorer.ask_change(state, 0, 1, 3)
+        state.paused = {1}
+        explorer.calm(state)  # the leader and the one that was let go have heard all
+        explorer.end(state, 2, by_agreement=True)
+        explorer.check(state)
+
+    def test_a_late_word_that_lets_go(self) -> None:
+        explorer = VoterExplorer(start=VoterStart.FOLLOWER_LEAVES)
+        state = explorer.start
+        state.post = [(to, m) for to, m in state.post if ConsensusMessage.FromString(m).kind != Kind.LEAVE]
+        explorer.calm(state)  # the second change, entry 3, is on the disk of the follower, and LEAVE was lost
+        self.assertEqual(state.held["d2"], 3)
+        late = ConsensusMessage(kind=Kind.LEAVE_REPLY, disk="d0", term=1, granted=True, number=2)
+        explorer.receive(state, 2, late.SerializeToString())
+        self.assertFalse(state.orders[2].let_go)
+
 
 class BrokenOnPurpose(unittest.TestCase):
     def assert_found(
