--- a/tests/mesh/test_signals.py
+++ b/tests/mesh/test_signals.py
@@ -189,7 +189,8 @@
             self.serves_meanwhile(played)
 
     def test_one_is_ended(self) -> None:
-        """What was read is answered, as long as the process is there."""
+        """What was read is answered while the grace lasts. Under load that never ends, what runs at its end is cut off:
+        its callers are told 502, or nothing, and never that it did not run."""
         caller, keeper, under_load = self.play(caller_is_ended, keeper_is_ended, caller_is_ended_under_load)
         for ended in (caller.mesh.caller, keeper.mesh.keeper, under_load.mesh.caller):
             self.assertEqual(ended.popen.returncode, 0)
