--- a/tests/mesh/test_signals.py
+++ b/tests/mesh/test_signals.py
@@ -202,6 +202,11 @@
         early = [t.id for t in under_load.lost() if t.ended_at < under_load.ended_at - SLACK_S]
         self.assertEqual(early, [])
 
+    def test_nothing_is_lost_when_the_grace_ends_under_load(self) -> None:
+        """Clients go on until nobody is there. Each request that was read has a whole answer, if only a 503."""
+        (played,) = self.play(caller_is_ended_under_load)
+        self.assertEqual(played.lost(), [])
+
     def test_the_settings_change(self) -> None:
         (played,) = self.play(settings_change)
         self.assertEqual(played.lost(), [])
