--- a/tests/mesh/test_entries.py
+++ b/tests/mesh/test_entries.py
@@ -87,8 +87,9 @@
         replica.out.clear()
         return w, replica
 
-    def append(self, w: World, replica: Replica, number: int, term: int = 1) -> None:
-        entry = LogEntry(term=term, number=number, voters=replica.committed.voters, founding_size=3)
+    def append(self, w: World, replica: Replica, number: int, term: int = 1, entry_term: int | None = None) -> None:
+        """``entry_term``: that of the entry, where it is another than the leader's."""
+        entry = LogEntry(term=entry_term or term, number=number, voters=replica.committed.voters, founding_size=3)
         leader = next(v for v in replica.committed.voters if v.disk == replica.leader)
         message = ConsensusMessage(
             kind=orders.Kind.APPEND, disk=leader.disk, term=term, number=number, entry=entry, voter=leader
@@ -112,6 +113,37 @@
         self.assertEqual(saved + self.saves(w, replica), [4])
         self.assertEqual(replica.accepted.number if replica.accepted is not None else 0, 4)
 
+    def test_an_entry_of_a_term_before_does_not_overwrite_a_later_one(self) -> None:
+        """The leader has offered what was committed under the term before, and that comes after its own entry."""
+        w, replica = self.follower()
+        self.append(w, replica, 4, term=5)
+        saved = self.saves(w, replica)
+        self.append(w, replica, 3, term=5, entry_term=4)
+        self.assertEqual(saved + self.saves(w, replica), [4])
+
+    def test_a_newcomer_with_an_entry_that_was_never_committed(self) -> None:
+        """It accepted one more entry under a term before, and comes back without a vote: it takes what is committed in
+        its place, though no further change comes, and is let in."""
+        w = up()
+        (former,) = w.leaders()
+        w.put(former, 0, 5)
+        w.run(0.5)
+        w.kill(former)
+        w.run(3.0)
+        (ip,) = w.leaders()
+        leader = w.machines[ip].replica
+        assert leader is not None
+        self.assertLess(leader.committed.term, leader.term)
+        w.add("10.0.0.10")
+        newcomer = w.machines["10.0.0.10"]
+        never = LogEntry()
+        never.CopyFrom(leader.committed)
+        never.number, never.text = never.number + 1, b"never committed"
+        newcomer.disk.accepted = never
+        w.start("10.0.0.10")
+        w.run(6.0)
+        self.assertIn("10.0.0.10", {v.ip for v in w.newest().voters})
+
     def test_a_committed_entry_does_not_overwrite_a_later_one(self) -> None:
         w, replica = self.follower()
         self.append(w, replica, 4)
