Log why a configuration is late, and count fetches

CONFIG_LATE is logged 1.5 s after a newer version was announced without becoming active, with the open fetches and the state of their links; COUNTS has the active and the newest announced version and the counts of fetches. No decision is changed.

--- a/zinclever/mesh/configuration/fetching.py
+++ b/zinclever/mesh/configuration/fetching.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Generic, TypeVar
 
 INITIAL_HEDGE_DELAY = 0.6  # s after the first fetch before a second peer is asked in parallel
@@ -22,6 +22,27 @@
 RequestT = TypeVar("RequestT")
 
 
+@dataclass(slots=True)
+class FetchCounters:
+    """Counts of fetches since the start of the process."""
+
+    sent: int = 0
+    texts: int = 0
+    """Answers that held a configuration."""
+    empty: int = 0
+    """Answers of peers that don't have the requested version."""
+    failed: int = 0
+    """Fetches whose peer could not be reached, or whose connection was lost."""
+    held: int = 0
+    """Fetches of peers for a version that was not active here."""
+    dropped: int = 0
+    """Of these, the ones that were neither answered in time nor withdrawn."""
+
+    def as_dict(self) -> dict[str, int]:
+        """Return the counters by name, as they are logged."""
+        return asdict(self)
+
+
 class FetchScheduler:
     """Selects the peers from which the newest known version is fetched."""
 
--- a/zinclever/mesh/roles/configuration_distributor.py
+++ b/zinclever/mesh/roles/configuration_distributor.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 from ..configuration.active import ActiveConfiguration, decompress
-from ..configuration.fetching import FetchScheduler, FetchWaiters
+from ..configuration.fetching import FetchCounters, FetchScheduler, FetchWaiters
 from ..errors import MeshError
 from ..membership.gossip import Gossip
 from ..membership.records import CONFIG_RECORD_ID, RecordKind
-from ..transport.channel import ChannelPool
+from ..transport.channel import ChannelPool, LinkState
 from ..transport.framed_connection import FramedConnection
 from ..transport.mesh_pb2 import Fetch, FetchReply, Frame, Record, Version
 
@@ -19,6 +20,8 @@
 
 RETRY_DELAY = 0.05  # s before another peer is asked if a peer hasn't delivered the version
 NO_PEER_DELAY = 0.6  # s until the next attempt if no peer can be asked
+LATE_AFTER = 1.5  # s from hearing of a version after which it is logged as late; it has to be active within 2 s
+LATE_LOG_INTERVAL = 2.0  # s between two log lines while a version is late
 
 
 class ConfigurationDistributor:
@@ -39,6 +42,10 @@
         self.waiters: FetchWaiters[FramedConnection, Frame] = FetchWaiters()
         self.streams: dict[str, int] = {}
         """By peer: the stream of the open fetch from it."""
+        self.counters = FetchCounters()
+        self.newer_since = math.inf
+        """The time since which a version is known that is newer than the active one."""
+        self.late_logged_at = -math.inf
 
     # --- fetching ---
 
@@ -51,11 +58,13 @@
         """Fetch the newest version if it isn't active yet: from ``preferred`` if possible, else from any peer."""
         record = self.newer_version()
         if record is None:
+            self.newer_since = math.inf
             if self.timer is not None:
                 self.timer.cancel()
             for unneeded in self.scheduler.finish():
                 self.cancel_fetch(unneeded)
             return
+        self.log_if_late(record)
         peers = self.gossip.members.others()
         peer = self.scheduler.next_peer(self.loop.time(), preferred, peers, self.gossip.rng.choice)
         if peer is not None:
@@ -86,10 +95,12 @@
                 self.channels.to(address).finish_call(stream)
             self.streams.pop(peer, None)
             self.scheduler.on_answered(peer)
+            self.count_answer(frame)
             is_applied = frame is not None and frame.fetch_reply.index >= index and self.apply_reply(frame.fetch_reply)
             self.schedule_fetch(0.0 if is_applied else RETRY_DELAY)
 
         fetch = Frame(fetch=Fetch(index=index, accepts_compressed=True))
+        self.counters.sent += 1
         stream = self.channels.to(address).call(fetch, on_answer)
         if not is_done:
             self.streams[peer] = stream
@@ -109,6 +120,48 @@
             return False
         return self.activate_configuration(reply.index, reply.generation, text)
 
+    def count_answer(self, frame: Frame | None) -> None:
+        """Count the answer of a peer; None if its connection was lost."""
+        if frame is None:
+            self.counters.failed += 1
+        elif frame.fetch_reply.index:
+            self.counters.texts += 1
+        else:
+            self.counters.empty += 1
+
+    def log_if_late(self, record: Record) -> None:
+        """Log which fetches are open if a version has been known for :data:`LATE_AFTER` without becoming active."""
+        now = self.loop.time()
+        self.newer_since = min(self.newer_since, now)
+        if now - self.newer_since < LATE_AFTER or now - self.late_logged_at < LATE_LOG_INTERVAL:
+            return
+        self.late_logged_at = now
+        log.warning(
+            "configuration is late",
+            extra={
+                "code": "CONFIG_LATE",
+                "number": self.active.index,
+                "known": record.incarnation,
+                "late_s": round(now - self.newer_since, 1),
+                "open": [
+                    {"peer": peer, "open_s": round(now - since, 1), "link": self.link_state(peer)}
+                    for peer, since in self.scheduler.open_since.items()
+                ],
+                **self.counters.as_dict(),
+            },
+        )
+
+    def link_state(self, peer: str) -> LinkState:
+        """Return the state of the connection to a peer."""
+        address = self.gossip.members.address_of(peer)
+        return self.channels.to(address).link_state() if address is not None else LinkState.CLOSED
+
+    def as_dict(self) -> dict[str, int]:
+        """Return the active and the newest known version and the counters of fetches, as they are logged."""
+        record = self.newer_version()
+        known = record.incarnation if record is not None else self.active.index
+        return {"active": self.active.index, "known": known, **self.counters.as_dict()}
+
     # --- serving fetches ---
 
     def on_fetch(self, connection: FramedConnection, frame: Frame) -> None:
@@ -123,7 +176,9 @@
             if not reply.compressed:
                 reply.text = self.active.text
             connection.send(Frame(stream=frame.stream, fetch_reply=reply))
-        elif not self.waiters.add(self.loop.time(), connection, frame):
+            return
+        self.counters.held += 1
+        if not self.waiters.add(self.loop.time(), connection, frame):
             connection.send(Frame(stream=frame.stream, fetch_reply=FetchReply()))
 
     def activate_configuration(self, index: int, generation: int, text: bytes) -> bool:
@@ -142,6 +197,9 @@
             return False
         body = Version(index=index, generation=generation).SerializeToString()
         self.broadcast(Record(kind=RecordKind.VERSION, id=CONFIG_RECORD_ID, incarnation=index, body=body))
-        for connection, frame in self.waiters.take_all(self.loop.time()):
+        waiting = len(self.waiters.waiters)
+        in_time = self.waiters.take_all(self.loop.time())
+        self.counters.dropped += waiting - len(in_time)
+        for connection, frame in in_time:
             self.on_fetch(connection, frame)
         return True
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -180,6 +180,7 @@
                 "ingress": self.ingress.counts,
                 "services": {name: dict(client.forwarder.counts) for name, client in self.clients.clients.items()},
                 "gossip": self.node.gossip.counters.as_dict(),
+                "configuration": self.node.distributor.as_dict(),
             },
         )
 
--- a/zinclever/mesh/transport/channel.py
+++ b/zinclever/mesh/transport/channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 import math
 from collections.abc import Callable
@@ -30,6 +31,16 @@
 """Called just before the first frame of a call is written."""
 
 
+class LinkState(enum.StrEnum):
+    """The state of the connection of a channel, as it is logged."""
+
+    CLOSED = "closed"
+    DIALING = "dialing"
+    LIVE = "live"
+    SILENT = "silent"
+    """Calls are open, and nothing has been received for longer than a round trip."""
+
+
 @dataclass(frozen=True, slots=True)
 class PendingFrame:
     """A frame that waits for the connection to be established."""
@@ -141,6 +152,12 @@
         silence = now - self.connection.last_received_at
         return bool(self.open_calls) and silence > LIVENESS_CHECK_INTERVAL + allowance
 
+    def link_state(self) -> LinkState:
+        """Return the state of the connection."""
+        if self.connection is None:
+            return LinkState.CLOSED if self.dial_task is None else LinkState.DIALING
+        return LinkState.SILENT if self.is_unresponsive() else LinkState.LIVE
+
     def schedule_check(self) -> None:
         """Schedule :meth:`check_liveness` after :data:`LIVENESS_CHECK_INTERVAL`."""
         self.check_due_at = self.loop.time() + LIVENESS_CHECK_INTERVAL
