--- /dev/null
+++ b/tests/mesh/test_distribution_days.py
@@ -0,0 +1,74 @@
+"""Distribution of configurations in simulated time, while processes are killed and machines lose power."""
+
+from __future__ import annotations
+
+import unittest
+
+from zinclever.mesh.model.distribution_days import (
+    APPLY_BOUND,
+    CONTACT_PERIOD,
+    START_PERIOD,
+)
+from zinclever.mesh.model.distribution_field import DistributionField
+
+ELECTION = 0.8  # s from the start of the control nodes until they know what is committed
+SEEDS = range(1, 11)
+ANNOUNCEMENT = 0.01  # s in which the record of a version has reached some sidecars, and its text fewer
+
+
+def change(field: DistributionField) -> None:
+    """Commit a change, which all control nodes know at once."""
+    field.committed += 1
+    for name in field.control_nodes:
+        field.activate(name)
+
+
+def started_field(seed: int, sidecars: int) -> DistributionField:
+    """Return processes that know each other and use a configuration."""
+    field = DistributionField(sidecars, control_count=3, seed=seed)
+    field.run(START_PERIOD)
+    change(field)
+    field.run(START_PERIOD)
+    return field
+
+
+def late_sidecars(field: DistributionField) -> list[str]:
+    """Return the running sidecars that don't use the newest configuration."""
+    return [name for name in field.sidecars if name in field.processes and field.active_index(name) < field.committed]
+
+
+class Losses(unittest.TestCase):
+    # Guards against sidecars that wait for each other for a text that only the core has (incident of 2026-12-04).
+    def test_sidecars_get_a_version_that_was_announced_just_before_the_core_lost_power(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                field = started_field(seed, sidecars=9)
+                change(field)
+                field.run(0.004)
+                for name in field.control_nodes:
+                    field.stop(name, dark=True)
+                field.run(6.0)
+                for name in field.control_nodes:
+                    field.restart(name)
+                field.run(ELECTION)
+                for name in field.control_nodes:
+                    field.activate(name)
+                field.run(CONTACT_PERIOD - ELECTION)
+                self.assertEqual(late_sidecars(field), [])
+
+    # Guards against fetches from one dark machine after the other while the core is up (incident of 2026-12-04).
+    def test_a_version_comes_in_time_while_most_other_sidecars_are_dark(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                field = started_field(seed, sidecars=50)
+                field.connect(0.5)
+                change(field)
+                field.run(ANNOUNCEMENT)
+                for name in field.sidecars[::3] + field.sidecars[1::3]:
+                    field.stop(name, dark=True)
+                field.run(APPLY_BOUND - ANNOUNCEMENT)
+                self.assertEqual(late_sidecars(field), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/zinclever/mesh/roles/configuration_distributor.py
+++ b/zinclever/mesh/roles/configuration_distributor.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import math
 from collections.abc import Callable
+from typing import Protocol
 
+from ...core.protocol import Address
 from ..configuration.active import ActiveConfiguration, decompress
 from ..configuration.fetching import FetchCounters, FetchScheduler, FetchWaiters
 from ..errors import MeshError
 from ..membership.gossip import Gossip
 from ..membership.records import CONFIG_RECORD_ID, RecordKind
-from ..transport.channel import ChannelPool, LinkState
-from ..transport.framed_connection import FramedConnection
+from ..transport.channel import LinkState, OnAnswer
 from ..transport.mesh_pb2 import Fetch, FetchReply, Frame, Record, Version
 
 log = logging.getLogger(__name__)
@@ -24,22 +24,67 @@
 LATE_LOG_INTERVAL = 2.0  # s between two log lines while a version is late
 
 
+class Timer(Protocol):
+    """A callback that is scheduled."""
+
+    def cancel(self) -> None:
+        """Prevent the callback from running."""
+
+
+class Clock(Protocol):
+    """The part of an event loop that is used here."""
+
+    def time(self) -> float:
+        """Return the time in s on a monotonic clock."""
+
+    def call_later(self, delay: float, callback: Callable[[], object]) -> Timer:
+        """Run ``callback`` after ``delay`` s."""
+
+
+class FetchChannel(Protocol):
+    """The part of :class:`..transport.channel.Channel` that is used here."""
+
+    def call(self, frame: Frame, on_answer: OnAnswer) -> int:
+        """Open a call and return its stream number. ``on_answer`` is never called from within this method."""
+
+    def finish_call(self, stream: int) -> bool:
+        """Stop delivering answers of a call."""
+
+    def link_state(self) -> LinkState:
+        """Return the state of the connection."""
+
+
+class FetchChannels(Protocol):
+    """The channels of a process, by address."""
+
+    def to(self, address: Address) -> FetchChannel:
+        """Return the channel to an address."""
+
+
+class ReplyConnection(Protocol):
+    """An accepted connection, to which answers are sent."""
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame."""
+
+
 class ConfigurationDistributor:
     """Fetches newer configurations from other processes, and answers the fetches of others."""
 
     def __init__(
         self,
         gossip: Gossip,
-        channels: ChannelPool,
+        channels: FetchChannels,
         active: ActiveConfiguration,
         broadcast: Callable[[Record], None],
+        clock: Clock,
     ) -> None:
         """Create a distributor; ``broadcast`` gossips a record immediately."""
         self.gossip, self.channels, self.active, self.broadcast = gossip, channels, active, broadcast
-        self.loop = asyncio.get_running_loop()
-        self.timer: asyncio.TimerHandle | None = None
+        self.clock = clock
+        self.timer: Timer | None = None
         self.scheduler = FetchScheduler()
-        self.waiters: FetchWaiters[FramedConnection, Frame] = FetchWaiters()
+        self.waiters: FetchWaiters[ReplyConnection, Frame] = FetchWaiters()
         self.streams: dict[str, int] = {}
         """By peer: the stream of the open fetch from it."""
         self.counters = FetchCounters()
@@ -66,7 +111,7 @@
             return
         self.log_if_late(record)
         peers = self.gossip.members.others()
-        peer = self.scheduler.next_peer(self.loop.time(), preferred, peers, self.gossip.rng.choice)
+        peer = self.scheduler.next_peer(self.clock.time(), preferred, peers, self.gossip.rng.choice)
         if peer is not None:
             self.schedule_fetch(self.scheduler.next_delay())
             self.fetch_from(peer, record.incarnation)
@@ -77,7 +122,7 @@
         """Run :meth:`fetch_newer` after ``delay`` s, replacing the run that is scheduled."""
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.loop.call_later(delay, self.fetch_newer)
+        self.timer = self.clock.call_later(delay, self.fetch_newer)
 
     def fetch_from(self, peer: str, index: int) -> None:
         """Request version ``index`` or a newer one from a peer."""
@@ -131,7 +176,7 @@
 
     def log_if_late(self, record: Record) -> None:
         """Log which fetches are open if a version has been known for :data:`LATE_AFTER` without becoming active."""
-        now = self.loop.time()
+        now = self.clock.time()
         self.newer_since = min(self.newer_since, now)
         if now - self.newer_since < LATE_AFTER or now - self.late_logged_at < LATE_LOG_INTERVAL:
             return
@@ -164,7 +209,7 @@
 
     # --- serving fetches ---
 
-    def on_fetch(self, connection: FramedConnection, frame: Frame) -> None:
+    def on_fetch(self, connection: ReplyConnection, frame: Frame) -> None:
         """Answer a peer that requests a version: immediately if the version is active here, else once it is active.
 
         If too many peers wait already, an empty reply is sent immediately.
@@ -178,7 +223,7 @@
             connection.send(Frame(stream=frame.stream, fetch_reply=reply))
             return
         self.counters.held += 1
-        if not self.waiters.add(self.loop.time(), connection, frame):
+        if not self.waiters.add(self.clock.time(), connection, frame):
             connection.send(Frame(stream=frame.stream, fetch_reply=FetchReply()))
 
     def activate_configuration(self, index: int, generation: int, text: bytes) -> bool:
@@ -198,7 +243,7 @@
         body = Version(index=index, generation=generation).SerializeToString()
         self.broadcast(Record(kind=RecordKind.VERSION, id=CONFIG_RECORD_ID, incarnation=index, body=body))
         waiting = len(self.waiters.waiters)
-        in_time = self.waiters.take_all(self.loop.time())
+        in_time = self.waiters.take_all(self.clock.time())
         self.counters.dropped += waiting - len(in_time)
         for connection, frame in in_time:
             self.on_fetch(connection, frame)
--- a/zinclever/mesh/roles/node.py
+++ b/zinclever/mesh/roles/node.py
@@ -71,7 +71,7 @@
         """Accepted connections that have sent a frame."""
         self.protocol_versions: dict[Address, int] = {}
         """By address: the protocol version of the process there."""
-        self.distributor = ConfigurationDistributor(self.gossip, self.channels, self.active, self.broadcast)
+        self.distributor = ConfigurationDistributor(self.gossip, self.channels, self.active, self.broadcast, self.loop)
         self.record_listeners: list[Callable[[Record], None]] = []
         """Called with each new record."""
         self.frame_handlers: dict[str, Callable[[FramedConnection, Frame], None]] = {"fetch": self.distributor.on_fetch}
