--- a/tests/mesh/test_distribution_days.py
+++ b/tests/mesh/test_distribution_days.py
@@ -4,10 +4,12 @@
 
 import unittest
 
+from mesh.cases import params
 from zinclever.mesh.model.distribution_days import (
     APPLY_BOUND,
     CONTACT_PERIOD,
     START_PERIOD,
+    Day,
 )
 from zinclever.mesh.model.distribution_field import DistributionField
 
@@ -70,5 +72,12 @@
                 self.assertEqual(late_sidecars(field), [])
 
 
+class Days(unittest.TestCase):
+    # Guards against any order of losses and changes after which a version comes late (incident of 2026-12-04).
+    @params(*range(1, 21))
+    def test_no_version_is_late_on_a_random_day(self, seed: int) -> None:
+        self.assertEqual([str(late) for late in Day(seed).play()], [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/zinclever/mesh/membership/members.py
+++ b/zinclever/mesh/membership/members.py
@@ -7,7 +7,7 @@
 from ...core.protocol import Address
 from ..transport.mesh_pb2 import NodeInfo
 from .record_store import RecordStore
-from .records import ENDED_RANK, MemberState, RecordKind
+from .records import CONTROL, ENDED_RANK, MemberState, RecordKind
 
 
 class Members:
@@ -19,6 +19,7 @@
         self.rng = rng
         self.cached_revision = -1
         self.cached_others: list[str] = []
+        self.cached_control_nodes: list[str] = []
 
     def node_info(self, name: str) -> NodeInfo | None:
         """Return the description of a node, or None if the node is unknown."""
@@ -37,15 +38,30 @@
 
     def others(self) -> list[str]:
         """Return the names of the other nodes that are alive or suspect. The cached list must not be modified."""
-        if self.cached_revision != self.records.nodes_revision:
-            self.cached_revision = self.records.nodes_revision
-            self.cached_others = [
-                record.id
-                for record in self.records.of_kind(RecordKind.NODE)
-                if record.rank < ENDED_RANK and record.id != self.name
-            ]
+        self.refresh_cache()
         return self.cached_others
 
+    def control_nodes(self) -> list[str]:
+        """Return the names of the other control nodes that have not left. The cached list must not be modified.
+
+        Dead ones are included: they may be back before their records say so.
+        """
+        self.refresh_cache()
+        return self.cached_control_nodes
+
+    def refresh_cache(self) -> None:
+        """Update the cached lists if a node record has changed."""
+        if self.cached_revision == self.records.nodes_revision:
+            return
+        self.cached_revision = self.records.nodes_revision
+        others = [record for record in self.records.of_kind(RecordKind.NODE) if record.id != self.name]
+        self.cached_others = [record.id for record in others if record.rank < ENDED_RANK]
+        self.cached_control_nodes = [
+            record.id
+            for record in others
+            if record.rank < MemberState.LEFT and NodeInfo.FromString(record.body).role == CONTROL
+        ]
+
     def dead(self) -> list[str]:
         """Return the names of the nodes that were declared dead and whose records have not expired."""
         return [record.id for record in self.records.of_kind(RecordKind.NODE) if record.rank == MemberState.DEAD]
--- a/zinclever/mesh/membership/records.py
+++ b/zinclever/mesh/membership/records.py
@@ -14,6 +14,7 @@
 
 from ..transport.mesh_pb2 import EndpointInfo, NodeInfo, Record, RecordVersion, Version
 
+SIDECAR, CONTROL = "forager", "comb"  # role names on the wire, kept from version 0.1
 CONFIG_RECORD_ID = "config"  # id of the only record of kind VERSION
 RANGE_COUNT = 64  # hash ranges of keys, each with its own digest
 MAX_BODY_BYTES = 1000
--- a/zinclever/mesh/roles/configuration_distributor.py
+++ b/zinclever/mesh/roles/configuration_distributor.py
@@ -5,11 +5,13 @@
 import logging
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from ...core.protocol import Address
 from ..configuration.active import ActiveConfiguration, decompress
-from ..configuration.fetching import FetchCounters, FetchScheduler, FetchWaiters
+from ..configuration.fetch_waiters import FetchWaiters
+from ..configuration.fetching import FAILED_RETRY_DELAY, FETCH_TIMEOUT, FetchCounters, FetchScheduler
 from ..errors import MeshError
 from ..membership.gossip import Gossip
 from ..membership.records import CONFIG_RECORD_ID, RecordKind
@@ -18,8 +20,7 @@
 
 log = logging.getLogger(__name__)
 
-RETRY_DELAY = 0.05  # s before another peer is asked if a peer hasn't delivered the version
-NO_PEER_DELAY = 0.6  # s until the next attempt if no peer can be asked
+POLL_INTERVAL = 0.1  # s between two checks whether another peer has to be asked
 LATE_AFTER = 1.5  # s from hearing of a version after which it is logged as late; it has to be active within 2 s
 LATE_LOG_INTERVAL = 2.0  # s between two log lines while a version is late
 
@@ -60,6 +61,9 @@
     def to(self, address: Address) -> FetchChannel:
         """Return the channel to an address."""
 
+    def is_unresponsive(self, address: Address) -> bool:
+        """Return whether there is a channel to an address whose peer has been silent for too long."""
+
 
 class ReplyConnection(Protocol):
     """An accepted connection, to which answers are sent."""
@@ -68,6 +72,16 @@
         """Send a frame."""
 
 
+@dataclass(eq=False, slots=True)
+class FetchCall:
+    """A fetch whose answer is still delivered."""
+
+    channel: FetchChannel
+    stream: int
+    empty_since: float = math.inf
+    """When the peer answered that it lacks the text, which may still follow."""
+
+
 class ConfigurationDistributor:
     """Fetches newer configurations from other processes, and answers the fetches of others."""
 
@@ -85,8 +99,8 @@
         self.timer: Timer | None = None
         self.scheduler = FetchScheduler()
         self.waiters: FetchWaiters[ReplyConnection, Frame] = FetchWaiters()
-        self.streams: dict[str, int] = {}
-        """By peer: the stream of the open fetch from it."""
+        self.calls: set[FetchCall] = set()
+        """Fetches whose answer would be used."""
         self.counters = FetchCounters()
         self.newer_since = math.inf
         """The time since which a version is known that is newer than the active one."""
@@ -106,17 +120,28 @@
             self.newer_since = math.inf
             if self.timer is not None:
                 self.timer.cancel()
-            for unneeded in self.scheduler.finish():
-                self.cancel_fetch(unneeded)
+            self.scheduler.finish()
+            for call in list(self.calls):
+                self.finish_call(call)
             return
         self.log_if_late(record)
-        peers = self.gossip.members.others()
-        peer = self.scheduler.next_peer(self.clock.time(), preferred, peers, self.gossip.rng.choice)
+        now = self.clock.time()
+        for call in [call for call in self.calls if now - call.empty_since >= FETCH_TIMEOUT]:
+            self.finish_call(call)
+        if preferred or self.scheduler.is_due(now, self.is_unresponsive):
+            self.fetch_from_next_peer(preferred, record.incarnation)
+        self.schedule_fetch(POLL_INTERVAL)
+
+    def fetch_from_next_peer(self, preferred: str, index: int) -> None:
+        """Request version ``index`` from the peer that the scheduler selects, if any can be asked."""
+        members, now = self.gossip.members, self.clock.time()
+        choose = self.gossip.rng.choice
+        peer = self.scheduler.next_peer(
+            now, preferred, members.others(), choose, members.control_nodes(), self.is_unresponsive
+        )
         if peer is not None:
-            self.schedule_fetch(self.scheduler.next_delay())
-            self.fetch_from(peer, record.incarnation)
-        else:
-            self.schedule_fetch(NO_PEER_DELAY)
+            self.scheduler.on_asked(now)
+            self.fetch_from(peer, index)
 
     def schedule_fetch(self, delay: float) -> None:
         """Run :meth:`fetch_newer` after ``delay`` s, replacing the run that is scheduled."""
@@ -128,33 +153,31 @@
         """Request version ``index`` or a newer one from a peer."""
         address = self.gossip.members.address_of(peer)
         assert address is not None  # the peer is a known member
-        stream = 0
-        is_done = False
+        channel = self.channels.to(address)
 
         def on_answer(frame: Frame | None) -> None:
-            nonlocal is_done
-            if is_done:
-                return
-            is_done = True
-            if stream:
-                self.channels.to(address).finish_call(stream)
-            self.streams.pop(peer, None)
-            self.scheduler.on_answered(peer)
             self.count_answer(frame)
-            is_applied = frame is not None and frame.fetch_reply.index >= index and self.apply_reply(frame.fetch_reply)
-            self.schedule_fetch(0.0 if is_applied else RETRY_DELAY)
+            if frame is not None and frame.fetch_reply.index < index:
+                call.empty_since = self.clock.time()  # the call stays open: the text may follow
+                self.scheduler.on_empty(call.empty_since, peer)
+                return
+            self.finish_call(call)
+            if frame is not None and self.apply_reply(frame.fetch_reply):
+                self.scheduler.on_answered(peer)
+                self.schedule_fetch(0.0)
+            else:
+                self.scheduler.on_failed(self.clock.time(), peer)
+                self.schedule_fetch(FAILED_RETRY_DELAY)
 
-        fetch = Frame(fetch=Fetch(index=index, accepts_compressed=True))
         self.counters.sent += 1
-        stream = self.channels.to(address).call(fetch, on_answer)
-        if not is_done:
-            self.streams[peer] = stream
+        fetch = Frame(fetch=Fetch(index=index, accepts_compressed=True))
+        call = FetchCall(channel, channel.call(fetch, on_answer))
+        self.calls.add(call)
 
-    def cancel_fetch(self, peer: str) -> None:
-        """Stop waiting for the answer of a peer."""
-        stream, address = self.streams.pop(peer, None), self.gossip.members.address_of(peer)
-        if stream is not None and address is not None:
-            self.channels.to(address).finish_call(stream)
+    def finish_call(self, call: FetchCall) -> None:
+        """Stop waiting for the answer of a fetch."""
+        self.calls.discard(call)
+        call.channel.finish_call(call.stream)
 
     def apply_reply(self, reply: FetchReply) -> bool:
         """Activate a configuration received from a peer. Returns False if it can't be parsed."""
@@ -196,6 +219,11 @@
             },
         )
 
+    def is_unresponsive(self, peer: str) -> bool:
+        """Return whether a peer has been silent for too long to be asked."""
+        address = self.gossip.members.address_of(peer)
+        return address is None or self.channels.is_unresponsive(address)
+
     def link_state(self, peer: str) -> LinkState:
         """Return the state of the connection to a peer."""
         address = self.gossip.members.address_of(peer)
@@ -210,9 +238,10 @@
     # --- serving fetches ---
 
     def on_fetch(self, connection: ReplyConnection, frame: Frame) -> None:
-        """Answer a peer that requests a version: immediately if the version is active here, else once it is active.
+        """Answer a peer that requests a version: with the version if it is active here, else with an empty reply.
 
-        If too many peers wait already, an empty reply is sent immediately.
+        After an empty reply the version follows on the same stream if it becomes active here soon, so that it spreads
+        along the path of its announcement. A peer of protocol version 3 asks another process instead of waiting.
         """
         if self.active.index >= frame.fetch.index and self.active.text:
             reply = FetchReply(index=self.active.index, generation=self.active.generation)
@@ -223,8 +252,8 @@
             connection.send(Frame(stream=frame.stream, fetch_reply=reply))
             return
         self.counters.held += 1
-        if not self.waiters.add(self.clock.time(), connection, frame):
-            connection.send(Frame(stream=frame.stream, fetch_reply=FetchReply()))
+        self.waiters.add(self.clock.time(), connection, frame)
+        connection.send(Frame(stream=frame.stream, fetch_reply=FetchReply()))
 
     def activate_configuration(self, index: int, generation: int, text: bytes) -> bool:
         """Activate a committed configuration, announce its version and answer the peers that wait for it.
--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -13,11 +13,11 @@
 from ..control_api.listener import ControlApi, Handler
 from ..control_api.router import Router
 from ..errors import MeshError
-from ..membership.records import RecordKind
+from ..membership.records import CONTROL, RecordKind
 from ..transport.framed_connection import FramedConnection
 from ..transport.mesh_pb2 import Frame, Record, Voter
 from .endpoint_api import ControlEndpointApi, EndpointAnnouncer
-from .node import CONTROL, Node
+from .node import Node
 from .node_settings import NodeSettings
 from .operator_calls import READ_PATH, REPLACE_PATH, OperatorCalls
 from .replica_transport import ReplicaTransport, log_role
--- a/zinclever/mesh/roles/endpoint_api.py
+++ b/zinclever/mesh/roles/endpoint_api.py
@@ -10,10 +10,10 @@
 from ..control_api.listener import Call, error_answer, json_answer
 from ..errors import MeshError
 from ..membership.receipt_quorum import ReceiptQuorum
-from ..membership.records import EndpointPhase, RecordKind
+from ..membership.records import CONTROL, SIDECAR, EndpointPhase, RecordKind
 from ..transport.mesh_pb2 import EndpointInfo, Record
 from .heartbeats import changes_state, departure_record, parse_heartbeat, set_sidecar, sidecar_of, superseding_record
-from .node import CONTROL, SIDECAR, Node
+from .node import Node
 
 log = logging.getLogger(__name__)
 
--- a/zinclever/mesh/roles/node.py
+++ b/zinclever/mesh/roles/node.py
@@ -12,7 +12,7 @@
 from ..configuration.active import ActiveConfiguration
 from ..membership.gossip import Gossip
 from ..membership.gossip_socket import GossipSocket
-from ..membership.records import ENDED_RANK, RecordKind
+from ..membership.records import CONTROL, ENDED_RANK, SIDECAR, RecordKind
 from ..membership.transmitter import DEFAULT_GOSSIP_RATE
 from ..transport.channel import Channel, ChannelPool
 from ..transport.framed_connection import FramedConnection
@@ -20,8 +20,6 @@
 from .configuration_distributor import ConfigurationDistributor
 from .node_settings import NodeSettings
 
-SIDECAR, CONTROL = "forager", "comb"  # role names on the wire, kept from version 0.1
-
 PORT_OFFSETS = {SIDECAR: 0, CONTROL: 1}  # of a role's port from the first of EphemeralPorts
 GOSSIP_LINK_SHARE = 0.1  # of this machine's bandwidth that gossip may use
 BYTES_PER_MBIT = 125_000.0
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -20,12 +20,12 @@
 from ..dataplane.ingress import Ingress
 from ..dataplane.retry_budget import RetryBudget
 from ..dataplane.service_clients import ServiceClient, ServiceClients
-from ..membership.records import EndpointPhase, MemberState, RecordKind
+from ..membership.records import SIDECAR, EndpointPhase, MemberState, RecordKind
 from ..transport.framed_connection import FramedConnection
 from ..transport.mesh_pb2 import ControlReply, EndpointInfo, Frame, Record
 from .forward_server import ForwardServer
 from .local_endpoint import LocalEndpoint
-from .node import SIDECAR, Node
+from .node import Node
 from .node_settings import NodeSettings
 
 log = logging.getLogger(__name__)
--- a/zinclever/mesh/roles/status_api.py
+++ b/zinclever/mesh/roles/status_api.py
@@ -12,9 +12,9 @@
 from ..consensus.replica_store import ReplicaStore
 from ..control_api.listener import Call, error_answer, json_answer
 from ..errors import MeshError
-from ..membership.records import EndpointPhase, MemberState, RecordKind
+from ..membership.records import SIDECAR, EndpointPhase, MemberState, RecordKind
 from ..transport.mesh_pb2 import ControlCall, EndpointInfo, NodeInfo, Record, Voter
-from .node import SIDECAR, Node
+from .node import Node
 from .operator_calls import forward
 from .replica_transport import ReplicaTransport
 
--- a/zinclever/mesh/transport/channel.py
+++ b/zinclever/mesh/transport/channel.py
@@ -304,6 +304,11 @@
             channel = self.channels[address] = Channel(address, self.sender_name)
         return channel
 
+    def is_unresponsive(self, address: Address) -> bool:
+        """Return whether there is a channel to an address whose peer has been silent for too long."""
+        channel = self.channels.get(address)
+        return channel is not None and channel.is_unresponsive()
+
     def retire(self, address: Address) -> None:
         """Close an idle channel to a peer that has left the mesh.
 
