--- a/tests/mesh/test_configuration_handout.py
+++ b/tests/mesh/test_configuration_handout.py
@@ -117,13 +117,12 @@
 
     def test_every_other_peer_asked_is_a_control_node_while_peers_lack_the_text(self) -> None:
         scheduler = FetchScheduler()
-        sidecars = [f"s{n}" for n in range(50)]
+        sidecars, control_nodes = [f"s{n}" for n in range(50)], ["c0", "c1", "c2"]
+        choose = random.Random(1).choice
         asked = []
         for step in range(8):
             now = step * EMPTY_RETRY_DELAY
-            peer = scheduler.next_peer(
-                now, "s0" if step == 0 else "", sidecars, random.Random(1).choice, ["c0", "c1", "c2"]
-            )
+            peer = scheduler.next_peer(now, "" if step else "s0", sidecars, choose, control_nodes)
             assert peer is not None
             asked.append(peer[0])
             scheduler.on_empty(now, peer)
--- a/tests/mesh/test_text_exchange.py
+++ b/tests/mesh/test_text_exchange.py
@@ -15,7 +15,12 @@
     manifest_name,
     split_blocks,
 )
-from zinclever.mesh.consensus.text_exchange import MAX_HELD_MESSAGES, MAX_SENT_RECORDS, TextExchange
+from zinclever.mesh.consensus.text_exchange import (
+    MAX_HELD_MESSAGES,
+    MAX_SENT_RECORDS,
+    REQUEST_TIMEOUT,
+    TextExchange,
+)
 from zinclever.mesh.consensus.text_store import MAX_HELD_BYTES, MAX_TEXTS, TextStore
 from zinclever.mesh.model.slow_links import config_text
 from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
@@ -23,6 +28,7 @@
 LARGE = 4_000_000  # bytes of a configuration
 
 ONE, TWO = Voter(disk="d1", ip="10.0.0.1", port=1), Voter(disk="d2", ip="10.0.0.2", port=1)
+THREE = Voter(disk="d3", ip="10.0.0.3", port=1)
 
 
 class Exchange(unittest.TestCase):
@@ -111,6 +117,29 @@
         self.two.outbox.clear()
         self.assertEqual((self.two.incoming(20.0, late), self.two.outbox), ([], []))
 
+    # Guards against a new leader whose text waits for three requests to the old one, which is down.
+    def test_another_replica_is_asked_once_the_first_source_has_not_answered(self) -> None:
+        for number, text in ((1, config_text(300_000, 1)), (2, config_text(300_000, 2))):
+            with self.subTest(same_text=number == 1):
+                self.setUp()
+                self.two.incoming(0.0, self.append(1, config_text(300_000, 1)))
+                self.two.outbox.clear()
+                new_leader = TextExchange(THREE)
+                new_leader.protocol_versions["d2"] = 1
+                entry = LogEntry(term=2, index=number, text=text)
+                message = ConsensusMessage(kind=MessageKind.APPEND, disk="d3", term=2, entry=entry, voter=THREE)
+                (sent,) = new_leader.outgoing(0.0, Send(TWO, message))
+                self.two.incoming(0.1, sent.message)
+                self.two.tick(REQUEST_TIMEOUT - 0.1)
+                self.assertEqual(self.two.outbox, [])
+                self.two.tick(REQUEST_TIMEOUT)
+                self.assertEqual([send.to.disk for send in self.two.outbox], ["d3"])
+                completed: list[ConsensusMessage] = []
+                while self.two.outbox:
+                    new_leader.incoming(REQUEST_TIMEOUT, self.two.outbox.pop().message)
+                    completed += self.two.incoming(REQUEST_TIMEOUT, new_leader.outbox.pop().message)
+                self.assertIn((2, text), [(each.term, each.entry.text) for each in completed])
+
     def test_memory_is_bounded(self) -> None:
         """5,000 texts that receivers never fetch, and as many announced texts that no source provides."""
         for number in range(1, 5001):
--- a/zinclever/mesh/consensus/text_exchange.py
+++ b/zinclever/mesh/consensus/text_exchange.py
@@ -346,11 +346,26 @@
         self.held = [held for held in self.held if transfer.name not in held.missing_texts]
         self.counters.given_up += 1
 
+    def latest_from_other(self, source: Voter) -> HeldMessage | None:
+        """Return the latest message that waits for a text and was not sent by ``source``."""
+        others = [held for held in self.held if held.message.disk != source.disk]
+        return others[-1] if others else None
+
     def tick(self, now: float) -> None:
-        """Repeat an unanswered request, or abandon the transfer after too many of them."""
+        """Repeat an unanswered request, or abandon the transfer after too many of them.
+
+        If another replica has sent a message whose text is missing too, it is asked instead: the first one may be down.
+        """
         transfer = self.transfer
         if transfer is None or now - transfer.requested_at < REQUEST_TIMEOUT:
             return
+        alternative = self.latest_from_other(transfer.source)
+        if alternative is not None and transfer.name in alternative.missing_texts:
+            transfer.source, transfer.unanswered_requests = alternative.message.voter, 0
+        elif alternative is not None:
+            self.abandon_transfer(transfer)
+            self.begin_next_transfer(now)
+            return
         if transfer.unanswered_requests >= MAX_UNANSWERED_REQUESTS:
             self.abandon_transfer(transfer)
             self.begin_next_transfer(now)
