Ignore an offer to change the protocol (review, case 3)

A client that sent Upgrade with a request got a second answer, 400, behind the answer to it, and took it for that of its next request, which was thrown away; a body was not forwarded. The parser ends at a head that offers another protocol, and what followed was rejected. That head is now parsed again without the offer, before the bytes behind it, as RFC 9110, 7.8 has it; CONNECT gets 400 before anything is forwarded.

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -49,6 +49,7 @@
         (head("GET /read HTTP/1.1", "Req-Id: r", "Req-Deadline: 5", "X-Fill: " + "x" * 40000), 431),
         (b"what is this\r\n\r\n", 400),
         (GOOD.replace(b"Host: x\r\n", b""), 400),
+        (head("CONNECT x:1 HTTP/1.1", "Req-Id: r", "Req-Deadline: 5"), 400),
         (GOOD.replace(b"Host: x\r\n", b"Host: x\r\nhost: x\r\n"), 400),
         (GOOD.replace(b"1.1", b"1.0").replace(b"Host: x\r\n", b"Host: x\r\nHost: y\r\n"), 400),
         (head("GET /read HTTP/1.1", "Req-Id: r", "Req-Deadline: 5", "Content-Length: x"), 400),
@@ -70,6 +71,39 @@
     run(test)
 
 
+# Guards against a second response, taken for that to the next request, and against losing the body (review, case 3).
+@pytest.mark.parametrize("size", [1, 7, 10000])
+@pytest.mark.parametrize("connection", ["Upgrade, HTTP2-Settings", "Upgrade"])
+def test_an_offer_to_change_the_protocol_is_ignored(connection: str, size: int) -> None:
+    settings = ["HTTP2-Settings: AAMAAABk"] if "HTTP2-Settings" in connection else []
+    offer = (f"Connection: {connection}", "Upgrade: h2c", *settings)
+    with_body = head("POST /tip HTTP/1.1", "Req-Id: r1", "Req-Deadline: 5", "Content-Length: 5", *offer) + b"order"
+    chunked = head("POST /tip HTTP/1.1", "Req-Id: r2", "Req-Deadline: 5", "Transfer-Encoding: chunked", *offer)
+    requests = (
+        with_body
+        + chunked
+        + b"4\r\nmore\r\n0\r\n\r\n"
+        + head("GET /read HTTP/1.1", "Req-Id: r3", "Req-Deadline: 5", *offer)
+        + GOOD.replace(b"r1", b"r4")
+    )
+
+    async def test() -> None:
+        async with serving(always(response(200, b"ran"))) as (peer, at), sidecar(send_to("e"), known(e=at)) as s:
+            c = await s.client()
+            for start in range(0, len(requests), size):
+                c.writer.write(requests[start : start + size])
+                await asyncio.sleep(0)
+            for _ in range(4):
+                got = await c.answer()
+                assert (got.status, got.body) == (200, b"ran")
+                assert got.headers.get("connection") != "close"
+            received = [message for _, message in peer.requests]
+            assert [message.body for message in received] == [b"order", b"more", b"", b""]
+            assert not any({"upgrade", "http2-settings"} & set(message.headers) for message in received)
+
+    run(test)
+
+
 @pytest.mark.parametrize("at_once", [True, False])
 def test_pipelined_requests_are_served_in_order(at_once: bool) -> None:
     """Guards against losing a request because of data before or behind it, and against mixing up responses."""
--- a/zinclever/http1/server.py
+++ b/zinclever/http1/server.py
@@ -103,7 +103,7 @@
                 self.transport.pause_reading()
             return
         try:
-            self.parser.feed_data(data)
+            self.parse(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, Rejected):
@@ -111,12 +111,37 @@
             else:
                 log.error("internal error while handling a request", exc_info=cause)
                 self.reject(500)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserError:
             if self.keep_alive:  # otherwise data behind the last request is ignored
                 self.reject(400)
         else:
             self.check_limits()
 
+    def parse(self, data: bytes) -> None:
+        """Parse received bytes. An offer to change the protocol is ignored (RFC 9110, 7.8).
+
+        The parser ends at the head that holds the offer. That head is parsed again without it, before the other bytes.
+        """
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                data = self.head_without_upgrade() + data[offer.args[0] :]
+                self.parser = httptools.HttpRequestParser(self)
+
+    def head_without_upgrade(self) -> bytes:
+        """Return the head of the current request without the offer to change the protocol."""
+        lines = [b"%b %b HTTP/%b" % (self.parser.get_method(), self.url, self.parser.get_http_version().encode())]
+        for name, value in self.headers:
+            lower_name = name.lower()
+            if lower_name == b"connection":
+                options = [option for option in value.split(b",") if option.strip().lower() != b"upgrade"]
+                lines.append(b"%b: %b" % (name, b",".join(options)))
+            elif lower_name != b"upgrade":
+                lines.append(b"%b: %b" % (name, value))
+        return b"\r\n".join([*lines, b"", b""])
+
     def check_limits(self) -> None:
         """Limit the memory of an incomplete request: the parser buffers a header until its end."""
         max_raw_bytes = MAX_CHUNKED_OVERHEAD + MAX_CHUNKED_RATIO * self.size if self.in_body else MAX_HEAD_SIZE
@@ -160,6 +185,10 @@
         Raises:
             Rejected: With 505, 400 or 413.
         """
+        if self.parser.get_method() == b"CONNECT":
+            raise Rejected(400)
+        if self.parser.should_upgrade():
+            return  # the head is parsed again without the offer
         self.in_body = True
         version = self.parser.get_http_version()
         if version not in SUPPORTED_VERSIONS:
@@ -290,6 +319,8 @@
 
     def on_message_complete(self) -> None:
         """Begin the received request, or queue it. Raises Rejected with 400 if too many are queued."""
+        if self.parser.should_upgrade():
+            return
         if self.upload is not None:
             self.end_upload(self.upload)
             return
