Exit after SIGTERM only once clients and peers have read their answers (review, case 2)

Clients that read large answers had them cut off: a sidecar exited 2.4 s after SIGTERM, as a request counted as completed once its answer was in the transport's write buffer. Same cause elsewhere: replies to other sidecars were discarded at the exit, too, and the write timeout dropped a client that read for longer than 5 s in all, SIGTERM or not.

The shutdown now waits, within the grace period, for the write buffers of clients and peers; the write timeout starts again while a client reads.

--- a/tests/mesh/test_answers.py
+++ b/tests/mesh/test_answers.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 import unittest
 from collections import Counter
 from typing import Any
+from unittest import mock
 
 from mesh.cases import params
 from mesh.cluster import Mesh, StubEndpoint, ok_response, run, wait_until
 from mesh.test_attempts import PROTOCOL_VERSION, AttemptModel
 from zinclever.core.descriptors import Descriptors
+from zinclever.http1 import clients
 from zinclever.mesh.attempt_outcome import AttemptOutcome
 from zinclever.mesh.dataplane.ingress import Ingress
 from zinclever.mesh.transport.mesh_pb2 import ForwardReply, ForwardRequest, Frame
@@ -19,6 +22,9 @@
 
 STEP = 1  # bytes between two cut positions
 BODY = b"b" * 90
+LARGE_ANSWER = 14_000_000  # bytes; more than the kernel buffers
+READ_RATE = 10_000_000.0  # bytes/s
+WRITE_TIMEOUT = 0.3  # s
 
 
 class Relay:
@@ -288,5 +294,33 @@
         run(test)
 
 
+class SlowClients(unittest.TestCase):
+    # Guards against cutting off a client that reads slowly but never pauses for as long as the write timeout.
+    def test_a_client_that_keeps_reading_gets_its_whole_answer(self) -> None:
+        body = b"x" * LARGE_ANSWER
+
+        async def test() -> None:
+            async with Mesh(["one"], {0: lambda headers: ok_response(headers, body)}) as m:
+                await m.bring_up()
+                loop = asyncio.get_running_loop()
+                with socket.socket() as client, mock.patch.object(clients, "WRITE_TIMEOUT", WRITE_TIMEOUT):
+                    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+                    client.setblocking(False)
+                    await loop.sock_connect(client, (m.ips[0], m.port + 2))
+                    head = (
+                        b"GET /one/safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r\r\nX-Deadline-Ms: 3000\r\n\r\n"
+                    )
+                    await loop.sock_sendall(client, head)
+                    received, started_at = 0, loop.time()
+                    while received < LARGE_ANSWER:
+                        part = len(await loop.sock_recv(client, 1 << 20))
+                        self.assertTrue(part, received)
+                        received += part
+                        await asyncio.sleep(max(0.0, started_at + received / READ_RATE - loop.time()))
+                    self.assertGreater(loop.time() - started_at, 3 * WRITE_TIMEOUT)
+
+        run(test)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -5,11 +5,13 @@
 import asyncio
 import json
 import os
+import socket
 import unittest
 from pathlib import Path
 from unittest import mock
 
-from mesh.cluster import Mesh, config, run, wait_until
+from mesh.cases import params
+from mesh.cluster import Mesh, config, ok_response, run, wait_until
 from zinclever.mesh import cli
 from zinclever.mesh.attempt_outcome import AttemptOutcome
 from zinclever.mesh.dataplane.admission import IngressAdmission
@@ -17,6 +19,8 @@
 from zinclever.mesh.roles import sidecar
 from zinclever.mesh.transport.mesh_pb2 import ForwardReply, ForwardRequest
 
+LARGE_ANSWER = 12_000_000  # bytes; more than the kernel buffers
+
 
 class Leaving(unittest.TestCase):
     def test_a_drained_endpoint_receives_no_more_requests(self) -> None:
@@ -69,6 +73,32 @@
 
         run(test)
 
+    # Guards against answers that are cut off because their clients still read them at the exit (review, case 2).
+    @params("close", "keep-alive")
+    def test_a_terminating_sidecar_exits_after_its_clients_have_read_their_answers(self, connection: str) -> None:
+        body = b"x" * LARGE_ANSWER
+
+        async def test() -> None:
+            async with Mesh(["one", "two"], {0: lambda headers: ok_response(headers, body)}) as m:
+                await m.bring_up()
+                with socket.socket() as client, mock.patch.object(sidecar, "MIN_DRAIN_PERIOD", 0.05):
+                    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+                    client.setblocking(False)
+                    await m.control.loop.sock_connect(client, (m.ips[1], m.port + 2))
+                    head = "GET /one/safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r\r\nX-Deadline-Ms: 3000\r\n"
+                    await m.control.loop.sock_sendall(client, f"{head}Connection: {connection}\r\n\r\n".encode())
+                    received = len(await m.control.loop.sock_recv(client, 1 << 16))
+                    stopped = asyncio.ensure_future(m.sidecars[1].stop(6.0))
+                    await asyncio.sleep(0.5)
+                    self.assertFalse(stopped.done())
+                    while received < LARGE_ANSWER:
+                        part = len(await m.control.loop.sock_recv(client, 1 << 20))
+                        self.assertTrue(part, received)
+                        received += part
+                    await stopped
+
+        run(test)
+
     def test_a_request_for_a_replaced_endpoint_is_not_executed(self) -> None:
         """The address may have been taken over by an endpoint of another service."""
 
--- a/zinclever/http1/clients.py
+++ b/zinclever/http1/clients.py
@@ -150,11 +150,11 @@
                     connection.on_read_timeout()
         for connection in self.overdue(ConnectionState.WAITING_FOR_MEMORY, MEMORY_TIMEOUT):
             connection.on_memory_timeout()
-        for state in (ConnectionState.WRITING, ConnectionState.LINGERING, ConnectionState.CLOSING):
-            for connection in self.overdue(
-                state, LINGER_TIMEOUT if state is ConnectionState.LINGERING else WRITE_TIMEOUT
-            ):
-                connection.drop()
+        for state in (ConnectionState.WRITING, ConnectionState.CLOSING):
+            for connection in self.overdue(state, WRITE_TIMEOUT):
+                connection.on_write_timeout()
+        for connection in self.overdue(ConnectionState.LINGERING, LINGER_TIMEOUT):
+            connection.drop()
         excess = len(self.entered_at[ConnectionState.IDLE]) - self.relaxed_idle_limit
         for connection in self.overdue(ConnectionState.IDLE, MIN_IDLE_TIME):
             if excess <= 0:
@@ -173,6 +173,14 @@
             found.append(connection)
         return found
 
+    def has_unwritten_responses(self) -> bool:
+        """Return whether a client has yet to read the rest of a response."""
+        return any(
+            connection.transport.get_write_buffer_size() > 0
+            for connections in self.entered_at.values()
+            for connection in connections
+        )
+
     async def wait_disconnected(self) -> None:
         """Wait until no client is connected."""
         while self.count():
--- a/zinclever/http1/server.py
+++ b/zinclever/http1/server.py
@@ -64,6 +64,7 @@
         self.ending = False  # all further received bytes are discarded
         self.is_refused = False  # the first request is answered with 503, and the connection closed
         self.paused = False  # the client doesn't read its responses
+        self.unwritten_bytes = 0  # of the responses, when the write timeout was last started
         self.stream: ResponseStream | None = None  # of the response that is being streamed
         self.chunked = False  # that response is sent in chunks
         self.reply_counts = ReplyCounts()  # counters for the current request
@@ -507,6 +508,7 @@
     def pause_writing(self) -> None:
         """Begin no further request, and pause a streamed response, until the client reads again."""
         self.paused = True
+        self.unwritten_bytes = self.transport.get_write_buffer_size()
         if self.stream is not None:
             self.stream.pause()
             self.handler.set_state(self, ConnectionState.WRITING)
@@ -554,9 +556,19 @@
         else:
             self.drop()
 
+    def on_write_timeout(self) -> None:
+        """Drop the connection if its client has read nothing since the timeout started; else start it again."""
+        unwritten = self.transport.get_write_buffer_size()
+        if unwritten >= self.unwritten_bytes:
+            self.drop()
+            return
+        self.unwritten_bytes = unwritten
+        self.handler.set_state(self, self.state)
+
     def close(self) -> None:
         """Close the connection after the bytes that are already buffered for it."""
         self.ending = True
+        self.unwritten_bytes = self.transport.get_write_buffer_size()
         self.handler.set_state(self, ConnectionState.CLOSING)
         self.transport.close()
 
--- a/zinclever/mesh/roles/node.py
+++ b/zinclever/mesh/roles/node.py
@@ -118,6 +118,10 @@
         for listener in self.connection_listeners:
             listener(connection)
 
+    def has_unwritten_frames(self) -> bool:
+        """Return whether a peer has yet to read the rest of an answer."""
+        return any(connection.unwritten_bytes() for connection in self.connections)
+
     def channel_to(self, address: Address) -> Channel:
         """Return the channel to the process at an address."""
         return self.channels.to(address)
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -166,8 +166,14 @@
         self.node.stop()
 
     def is_idle(self) -> bool:
-        """Return whether no request is open, neither of this machine nor forwarded to it."""
-        return not self.egress.open_requests and not self.ingress.requests and not self.forward_server.open
+        """Return whether all requests, of this machine and forwarded to it, are completed and their answers written."""
+        return not (
+            self.egress.open_requests
+            or self.ingress.requests
+            or self.forward_server.open
+            or self.egress.has_unwritten_responses()
+            or self.node.has_unwritten_frames()
+        )
 
     def log_counters(self) -> None:
         """Log the counters every :data:`COUNTERS_INTERVAL`, instead of one line for each request."""
--- a/zinclever/mesh/transport/channel.py
+++ b/zinclever/mesh/transport/channel.py
@@ -192,7 +192,7 @@
         now, connection = self.loop.time(), self.connection
         if connection is None or connection.transport is None:
             return
-        unsent = connection.transport.get_write_buffer_size()
+        unsent = connection.unwritten_bytes()
         if now - self.keep_alive_checked_at > KEEP_ALIVE_INTERVAL or unsent < self.unsent_bytes:
             connection.last_received_at = now  # this process was stalled, or the peer still acknowledges bytes
         self.keep_alive_checked_at, self.unsent_bytes = now, unsent
--- a/zinclever/mesh/transport/framed_connection.py
+++ b/zinclever/mesh/transport/framed_connection.py
@@ -98,6 +98,10 @@
             encoded = frame.SerializeToString()
             self.transport.write(len(encoded).to_bytes(LENGTH_PREFIX_BYTES, "big") + encoded)
 
+    def unwritten_bytes(self) -> int:
+        """Return how many bytes the kernel has not accepted yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None and not self.closed else 0
+
     def abort(self) -> None:
         """Close immediately and discard unsent bytes; ``on_closed`` is called as for any other close."""
         if self.transport is not None:
