--- a/zinclever/fleet/zone_reachability.py
+++ b/zinclever/fleet/zone_reachability.py
@@ -12,6 +12,7 @@
 from random import Random
 from typing import Literal
 
+# Fewer failures may be a short disturbance; this many show that the path is lost.
 OUTAGE_FAILURES = 3  # consecutive failures to connect, without an answer between, that count as an outage
 MIN_OUTAGE = 1000.0  # ms from the first failure to the return; a process does not restart in less
 MIN_JUDGED_ANSWERS = 3  # answers after which their latency is judged
--- a/zinclever/jsonrpc/connection.py
+++ b/zinclever/jsonrpc/connection.py
@@ -21,7 +21,7 @@
 from .codec import InvalidResponse, Response, read_response
 from .framing import Framer, Framing, FramingError, frame, terminate_partial_frame
 
-MAX_RESPONSE_BYTES = 1 << 20  # size of one response
+MAX_RESPONSE_BYTES = 1 << 20  # size of one response: sixteen times the bodies of the platform that are buffered
 CHUNK_BYTES = 1 << 16  # size of a read, and approximate size of a write
 MAX_ABANDONED_CALLS = 1024  # cancelled calls without a response; at this number the connection accepts no more calls
 
--- a/zinclever/jsonrpc/framing.py
+++ b/zinclever/jsonrpc/framing.py
@@ -10,7 +10,7 @@
 from typing import Literal
 
 Framing = Literal["lines", "headers"]
-MAX_HEADER_BYTES = 4096  # bytes of the headers of one text
+MAX_HEADER_BYTES = 4096  # bytes of the headers of one text: ordinary peers send a few short ones
 _LENGTH = re.compile(rb"content-length[ \t]*:[ \t]*([0-9]{1,12})[ \t]*", re.IGNORECASE)
 _HEADER_END = b"\r\n\r\n"
 
--- a/zinclever/mesh/dataplane/forwarding.py
+++ b/zinclever/mesh/dataplane/forwarding.py
@@ -18,6 +18,7 @@
 
 CHUNK_BYTES = 64 * 1024  # maximum size of a body chunk in one frame; other frames can be sent between two chunks
 
+# A reservation saves the transfer of the body: under high load about half of the requests sent find no slot.
 RESERVATION_MIN_BYTES = 512  # body size from which the body is only sent once the ingress has granted a reservation
 RESERVATION_PROTOCOL = 2  # protocol version from which an ingress supports reservations
 ATTEMPTS_BEFORE_QUEUEING = 4  # endpoints tried for a free slot before a request may wait in a queue
--- a/zinclever/mesh/membership/broadcasts.py
+++ b/zinclever/mesh/membership/broadcasts.py
@@ -14,6 +14,7 @@
 RETRANSMITS = 2  # per record and process; digests deliver the record to missed peers within 1 to 2 s
 URGENT_RETRANSMITS = 3  # per urgent record
 STARTUP_PERIOD = 6.0  # s after the start during which a process knows few peers and retransmits records more often
+# The few nodes that a new process knows would pass its records on to the others too late.
 STARTUP_EXTRA_RETRANSMITS = 5  # additional retransmissions of each record during the startup period
 STARTUP_BYTES = 60_000  # bytes sent after which no retransmissions are added; in large meshes, digests deliver the rest
 RECEIPT_RETRY_INTERVAL = 0.15  # s after which a record is resent to recipients that have not confirmed it
