--- a/tests/mesh/processes.py
+++ b/tests/mesh/processes.py
@@ -286,13 +286,17 @@
     """A process that runs one role. Its output goes to a file, so that it never blocks on a full pipe."""
 
     def __init__(self, role: str, folder: Path, settings: dict[str, Any]) -> None:
-        self.settings = settings
+        self.role, self.settings = role, settings
         self.settings_path = folder / f"{settings['NodeName']}.json"
         self.log_path = folder / f"{settings['NodeName']}.log"
+        self.start()
+
+    def start(self) -> None:
+        """Start the process, for the first time or again."""
         self.write_settings()
-        with self.log_path.open("wb") as log:
+        with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, "meshd.py", role],
+                [sys.executable, "meshd.py", self.role],
                 cwd=ROOT,
                 env={**os.environ, "ZINCLEVER_BOOT": str(self.settings_path)},
                 stdin=subprocess.DEVNULL,
--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -254,7 +254,9 @@
 
         run(test)
 
-    def test_incoming_bodies_are_limited_in_total(self) -> None:
+    # The second case guards against complete bodies that wait for a slot and exceed the memory (review, memory).
+    @params(("incoming", False), ("complete", True))
+    def test_bodies_are_limited_in_total(self, name: str, is_complete: bool) -> None:
         async def test() -> None:
             async with Mesh(["one", "two"]) as m:
                 await m.bring_up()
@@ -262,7 +264,9 @@
                 incoming = ForwardRequest(
                     endpoint=m.stub_endpoints[0].id, length=60 << 20, reserve_first=True, deadline_ms=1000
                 )
-                sidecar.forward_server.open[(mock.Mock(), 1)] = InboundForward(mock.Mock(), incoming, 0.0)
+                inbound = InboundForward(mock.Mock(), incoming, 0.0)
+                inbound.missing_bytes *= not is_complete
+                sidecar.forward_server.open[(mock.Mock(), 1)] = inbound
                 self.assertEqual((await m.send_request("/one/unsafe/x", "POST", 1, b"b" * (8 << 20)))[0], 503)
                 self.assertEqual((await m.send_request("/one/unsafe/x", "POST", 1, self.BODY))[0], 200)
 
--- a/zinclever/mesh/roles/forward_server.py
+++ b/zinclever/mesh/roles/forward_server.py
@@ -14,7 +14,7 @@
 from ..transport.mesh_pb2 import BodyChunk, ForwardReply, ForwardRequest, Frame
 
 MAX_BODY_BYTES = 80 << 20
-MAX_MEMORY_SHARE = 0.25  # of the memory that incomplete bodies may take
+MAX_MEMORY_SHARE = 0.25  # of the memory that bodies may take; each is copied when it is complete and when it is sent
 
 StreamKey = tuple[FramedConnection, int]
 
@@ -37,9 +37,10 @@
         self.chunks = [self.forward.body]
         self.missing_bytes = self.forward.length - len(self.forward.body)
 
-    def body(self) -> bytes:
-        """Return the complete body."""
-        return self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
+    def take_body(self) -> bytes:
+        """Return the complete body, which isn't kept here any longer."""
+        chunks, self.chunks = self.chunks, []
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
 class ForwardServer:
@@ -88,9 +89,9 @@
 
     def refusal(self, forward: ForwardRequest) -> ForwardReply | None:
         """Return the reply to a request whose body can't be accepted; None if it can."""
-        incoming_bytes = sum(inbound.missing_bytes for inbound in self.open.values() if inbound.missing_bytes > 0)
+        body_bytes = sum(inbound.forward.length for inbound in self.open.values())
         refusal = self.ingress.refusal(forward) if forward.reserve_first else None
-        if incoming_bytes and incoming_bytes + forward.length > MAX_MEMORY_SHARE * self.memory:
+        if body_bytes and body_bytes + forward.length > MAX_MEMORY_SHARE * self.memory:
             return ForwardReply(outcome=AttemptOutcome.NO_CAPACITY, reason="memory")
         return refusal
 
@@ -106,7 +107,7 @@
     def submit(self, stream: int, inbound: InboundForward) -> None:
         """Submit a request whose body is complete to the ingress."""
         on_reply = partial(self.send_reply, stream, inbound)
-        inbound.request = self.ingress.submit(inbound.forward, inbound.body(), on_reply, inbound.received_at)
+        inbound.request = self.ingress.submit(inbound.forward, inbound.take_body(), on_reply, inbound.received_at)
 
     def send_reply(self, stream: int, inbound: InboundForward, reply: ForwardReply) -> None:
         """Send the ingress's reply; a long body is split into chunks."""
