--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -16,6 +16,7 @@
 from zinclever.core.descriptors import DESCRIPTOR_RESERVE
 from zinclever.http1 import clients, server
 from zinclever.http1 import connection as http
+from zinclever.http1.bodies import UNRESERVED_BODY_SIZE
 
 
 def refuse_all(event: interface.Event) -> Iterable[interface.Action]:
@@ -273,6 +274,24 @@
     run(test)
 
 
+# Guards against a connection that is never read again, as its complete body no longer waits for memory (review).
+def test_a_connection_is_read_again_after_a_body_that_was_complete_before_it_got_memory() -> None:
+    body = b"x" * (UNRESERVED_BODY_SIZE + 1)
+    upload = head("POST /tip HTTP/1.1", "Req-Id: r0", "Req-Deadline: 5", "Transfer-Encoding: chunked")
+
+    async def test() -> None:
+        async with serving(always(response(200, b"ran"))) as (peer, at), sidecar(send_to("e"), known(e=at)) as s:
+            assert s.front.room.reserve("another connection", s.front.room.limit)
+            c = await s.client()
+            c.writer.write(upload + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body))
+            assert (await c.answer()).status == 200
+            c.writer.write(GOOD)
+            assert (await c.answer()).status == 200
+            assert [len(message.body) for _, message in peer.requests] == [len(body), 0]
+
+    run(test)
+
+
 def test_responses_are_not_buffered_for_a_client_that_does_not_read(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against memory growth for a client that keeps sending requests and never reads the responses."""
     monkeypatch.setattr(clients, "WRITE_TIMEOUT", 0.5)
--- a/zinclever/http1/server.py
+++ b/zinclever/http1/server.py
@@ -255,6 +255,12 @@
         except Rejected as error:
             self.reject(error.status)
 
+    def leave_memory_queue(self) -> None:
+        """Need no more memory, as the body is complete: continue to read if reading stopped for want of it."""
+        if self in self.handler.room.waiting:
+            self.handler.room.stop_waiting(self)
+            self.transport.resume_reading()
+
     # --- bodies that are forwarded while they are received ---
 
     def begin_upload(self) -> None:
@@ -285,7 +291,7 @@
         """Complete the body; the deadline of the request counts from now."""
         self.upload, self.request_memory, self.reserved_memory = None, self.reserved_memory, 0
         self.request_started, self.raw_bytes, self.in_body = False, 0, False
-        self.handler.room.stop_waiting(self)
+        self.leave_memory_queue()
         self.handler.set_state(self, ConnectionState.PROCESSING)
         assert self.request_id is not None
         request_id = self.request_id
@@ -337,7 +343,7 @@
             self.handler.loop.time() - self.receive_delay / 1000.0,
         )
         self.reserved_memory, self.in_body, self.body_parts = 0, False, []
-        self.handler.room.stop_waiting(self)
+        self.leave_memory_queue()
         if self.ending:
             self.handler.release_memory(request.reserved_memory)
             return
