--- a/tests/mesh/test_program.py
+++ b/tests/mesh/test_program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -25,7 +26,27 @@
     )
 
 
+def ignores_hangup(pid: int) -> bool:
+    """Return whether a process ignores SIGHUP or has a handler for it."""
+    status = dict(line.split(":", 1) for line in Path(f"/proc/{pid}/status").read_text().splitlines())
+    return bool((int(status["SigIgn"], 16) | int(status["SigCgt"], 16)) >> (signal.SIGHUP - 1) & 1)
+
+
 class Program(unittest.TestCase):
+    # Guards against a SIGHUP that ends a process while its modules are imported.
+    @params("sidecar", "control")
+    def test_hangup_is_ignored_before_the_libraries_are_imported(self, role: str) -> None:
+        process = subprocess.Popen([sys.executable, "meshd.py", role], cwd=ROOT, stderr=subprocess.DEVNULL)
+        try:
+            while not ignores_hangup(process.pid):
+                has_library = "uvloop" in Path(f"/proc/{process.pid}/maps").read_text()
+                if has_library:  # the signal may have been ignored since it was last looked at
+                    self.assertTrue(ignores_hangup(process.pid))
+                self.assertIsNone(process.poll())
+        finally:
+            process.kill()
+            process.wait()
+
     @params("sidecar", "control")
     def test_invalid_settings(self, role: str) -> None:
         with tempfile.TemporaryDirectory() as directory:
--- a/zinclever/mesh/cli.py
+++ b/zinclever/mesh/cli.py
@@ -55,7 +55,6 @@
 
 def run(make_role: Callable[[NodeSettings], Role]) -> int:
     """Run a role until SIGTERM. Returns the exit code: 0 after a graceful shutdown, else one of those above."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         settings = read_settings()
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
