--- a/tests/mesh/processes.py
+++ b/tests/mesh/processes.py
@@ -326,14 +326,23 @@
 
 
 class ProcessMesh(Mesh):
-    """A control process, two endpoints of :data:`SERVICE`, and a sidecar process for each of them.
+    """Control processes, endpoints of :data:`SERVICE`, and a sidecar process for each of them.
 
-    Clients send their requests to the first sidecar, which serves them locally or forwards them to the second. Use as
+    Clients send their requests to the first sidecar, which serves them locally or forwards them to another one. Use as
     an asynchronous context manager.
     """
 
-    def __init__(self, make_endpoint: Callable[[str, str], RecordingEndpoint] = RecordingEndpoint) -> None:
-        super().__init__([SERVICE] * 2)
+    def __init__(
+        self,
+        make_endpoint: Callable[[str, str], RecordingEndpoint] = RecordingEndpoint,
+        sidecars: int = 2,
+        control_nodes: int = 1,
+        grace: float = GRACE_S,
+    ) -> None:
+        super().__init__([SERVICE] * sidecars)
+        network = self.control_ip.rpartition(".")[0]
+        self.control_ips = [f"{network}.{number}" for number in range(1, control_nodes + 1)]
+        self.grace = grace
         self.endpoints = [make_endpoint(app.address, app.service) for app in self.stub_endpoints]
         self.stub_endpoints = [*self.endpoints]
         self.processes: list[Process] = []
@@ -342,20 +351,21 @@
         """Ids of the requests that were sent during the warm-up; they are not audited."""
 
     def settings(self, ip: str, **overrides: Any) -> dict[str, Any]:
-        names = ("ControlPlane",) if ip == self.control_ip else ("Egress", "Readiness", "ControlPlane")
+        is_control_node = ip in self.control_ips
+        names = ("ControlPlane",) if is_control_node else ("Egress", "Readiness", "ControlPlane")
         return {
             "NodeName": ip,
-            "Role": "control" if ip == self.control_ip else "sidecar",
+            "Role": "control" if is_control_node else "sidecar",
             "Ip": ip,
             "Zone": "z",
             "Serves": [],
             "Bind": {name: f"{ip}:{self.port + 2 + offset}" for offset, name in enumerate(names)},
             "EphemeralPorts": [self.port, self.port + 1],
-            "SeedNodes": [f"{self.control_ip}:{self.port + 2}"],
+            "SeedNodes": [f"{control_ip}:{self.port + 2}" for control_ip in self.control_ips],
             "Bootstrap": True,
             "Limits": {"MaxFds": 1024},
-            "FaultModel": {"HostLosses": 0},
-            "Bounds": ["RetryRatio=0.2", "RetryWindowS=10", "RetrySlack=60", f"GraceS={GRACE_S}"],
+            "FaultModel": {"HostLosses": (len(self.control_ips) - 1) // 2},
+            "Bounds": ["RetryRatio=0.2", "RetryWindowS=10", "RetrySlack=60", f"GraceS={self.grace}"],
             **overrides,
         }
 
@@ -371,19 +381,24 @@
 
     async def start(self) -> None:
         folder = Path(self.folder.name)
-        control_settings = self.settings(self.control_ip, StateDir=str(folder / "disk"))
-        self.processes.append(Process("control", folder, control_settings))
+        for ip in self.control_ips:
+            control_settings = self.settings(ip, StateDir=str(folder / f"disk-{ip}"))
+            self.processes.append(Process("control", folder, control_settings))
         for ip, endpoint in zip(self.ips, self.endpoints, strict=True):
             await endpoint.start()
             sidecar_settings = self.settings(ip, AppAddr=endpoint.address, Target=endpoint.service)
             self.processes.append(Process("sidecar", folder, sidecar_settings))
         async with asyncio.timeout(START_TIMEOUT_S):
-            await retry_until_success(lambda: self.put_until_definite(config(SERVICE), 0))
+            await self.put_first_configuration()
             self.heartbeat_task = asyncio.ensure_future(self.send_heartbeats())
             for ip in self.ips:
                 await retry_until_success(lambda ip=ip: self.check_ready(ip))  # type: ignore[misc]
             await self.warm_up_endpoints()
 
+    async def put_first_configuration(self) -> None:
+        """Send a configuration until it is acknowledged."""
+        await retry_until_success(lambda: self.put_until_definite(config(SERVICE), 0))
+
     async def check_ready(self, ip: str) -> None:
         status, _, _ = await self.call(f"{ip}:{self.port + 3}", "GET", "/v1/ready")
         if status != 200:
@@ -435,13 +450,21 @@
                     await endpoint.stop()
             self.folder.cleanup()
 
+    @property
+    def control_processes(self) -> list[Process]:
+        return self.processes[: len(self.control_ips)]
+
+    @property
+    def sidecar_processes(self) -> list[Process]:
+        return self.processes[len(self.control_ips) :]
+
     @property
     def egress_sidecar(self) -> Process:
-        return self.processes[1]
+        return self.sidecar_processes[0]
 
     @property
     def ingress_sidecar(self) -> Process:
-        return self.processes[2]
+        return self.sidecar_processes[1]
 
     def client(self, persistent: bool) -> Client:
         return Client(self.ips[0], self.port + 2, persistent)
--- a/tests/mesh/soak.py
+++ b/tests/mesh/soak.py
@@ -14,22 +14,11 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
-from pathlib import Path
-from typing import Any
 
 import uvloop
 
-from mesh.cluster import Mesh, config
-from mesh.processes import (
-    SERVICE,
-    Client,
-    Process,
-    RecordingEndpoint,
-    RouteClass,
-    audit,
-    retry_until_success,
-    summarize,
-)
+from mesh.cluster import config
+from mesh.processes import SERVICE, Client, Process, ProcessMesh, RouteClass, audit, summarize
 from zinclever.mesh.model.distribution_days import APPLY_BOUND, CONTACT_PERIOD
 
 CONTROL_NODES = 3
@@ -37,87 +26,24 @@
 TROUBLES_PER_ROUND = 3
 GRACE = 6.0
 PAUSE = 0.05  # of a client between two requests
-START_TIMEOUT = 60.0
 CALL_TIMEOUT = 4.0
-HEARTBEAT_INTERVAL = 0.5
 PROBE_ID = "probe"
 
 
-class SoakMesh(Mesh):
-    """Control nodes and sidecars as processes, their endpoints and clients. Use as an asynchronous context manager."""
+class SoakMesh(ProcessMesh):
+    """A mesh whose configurations each have a route of their own, by which their effect is seen."""
 
     def __init__(self, sidecars: int) -> None:
-        super().__init__([SERVICE] * sidecars)
-        network = self.control_ip.rpartition(".")[0]
-        self.control_ips = [f"{network}.{number}" for number in range(1, CONTROL_NODES + 1)]
-        self.ips = [f"{network}.{10 + number}" for number in range(sidecars)]
-        self.endpoints = [RecordingEndpoint(app.address, app.service) for app in self.stub_endpoints]
-        self.stub_endpoints = [*self.endpoints]
-        self.control: list[Process] = []  # type: ignore[assignment]
-        self.sidecars: list[Process] = []  # type: ignore[assignment]
+        super().__init__(sidecars=sidecars, control_nodes=CONTROL_NODES, grace=GRACE)
         self.generation = 0
-        self.heartbeats: asyncio.Task[None] | None = None
-
-    def settings(self, ip: str, names: tuple[str, ...], **overrides: Any) -> dict[str, Any]:
-        return {
-            "NodeName": ip,
-            "Ip": ip,
-            "Zone": "z",
-            "Serves": [],
-            "Bind": {name: f"{ip}:{self.port + 2 + offset}" for offset, name in enumerate(names)},
-            "EphemeralPorts": [self.port, self.port + 1],
-            "SeedNodes": [f"{control}:{self.port + 2}" for control in self.control_ips],
-            "Bootstrap": True,
-            "Limits": {"MaxFds": 1024, "MemoryMb": 300},
-            "FaultModel": {"HostLosses": 1},
-            "Bounds": ["RetryRatio=0.2", "RetryWindowS=10", "RetrySlack=60", f"GraceS={GRACE}"],
-            **overrides,
-        }
-
-    async def __aenter__(self) -> SoakMesh:
-        folder = Path(self.folder.name)
-        for ip in self.control_ips:
-            state = str(folder / f"disk-{ip}")
-            self.control.append(
-                Process("control", folder, self.settings(ip, ("ControlPlane",), Role="control", StateDir=state))
-            )
-        for ip, endpoint in zip(self.ips, self.endpoints, strict=True):
-            await endpoint.start()
-            names = ("Egress", "Readiness", "ControlPlane")
-            settings = self.settings(ip, names, Role="sidecar", AppAddr=endpoint.address, Target=endpoint.service)
-            self.sidecars.append(Process("sidecar", folder, settings))
-        self.heartbeats = asyncio.ensure_future(self.send_heartbeats())
-        async with asyncio.timeout(START_TIMEOUT):
-            await self.change()
-            for ip in self.ips:
-                await retry_until_success(lambda ip=ip: self.check_ready(ip))  # type: ignore[misc]
-        for process in self.control + self.sidecars:
+
+    async def start(self) -> None:
+        await super().start()
+        for process in self.processes:
             process.settings["Bootstrap"] = False
-        return self
 
-    async def __aexit__(self, *error: object) -> None:
-        for process in self.control + self.sidecars:
-            process.kill()
-        if self.heartbeats is not None:
-            self.heartbeats.cancel()
-        for endpoint in self.endpoints:
-            await endpoint.stop()
-        self.folder.cleanup()
-
-    async def check_ready(self, ip: str) -> None:
-        status, _, _ = await self.call(f"{ip}:{self.port + 3}", "GET", "/v1/ready")
-        if status != 200:
-            raise ConnectionError(status)
-
-    async def send_heartbeats(self) -> None:
-        while True:
-            for index in range(len(self.endpoints)):
-                try:
-                    async with asyncio.timeout(CALL_TIMEOUT):
-                        await self.send_heartbeat(index)
-                except (OSError, TimeoutError, asyncio.IncompleteReadError):
-                    continue  # the sidecar is stopped or has ended
-            await asyncio.sleep(HEARTBEAT_INTERVAL)
+    async def put_first_configuration(self) -> None:
+        await self.change()
 
     # --- the operator ---
 
@@ -207,16 +133,13 @@
         names = ", ".join(trouble.__name__ for trouble in chosen)
         for index, ip in enumerate(self.mesh.ips):
             if await self.mesh.is_stale(index):
-                log = self.mesh.sidecars[index].log_tail()
+                log = self.mesh.sidecar_processes[index].log_tail()
                 self.violations.append(f"seed {self.seed}, round {number} ({names}): {ip} is stale\n{log}")
 
     def check_requests(self) -> None:
         requests = [request for client in self.clients for request in client.requests]
         executions = [
-            execution
-            for endpoint in self.mesh.endpoints
-            for execution in endpoint.executions
-            if not execution.id.startswith(PROBE_ID)
+            execution for execution in self.mesh.audited_executions() if not execution.id.startswith(PROBE_ID)
         ]
         print(f"seed {self.seed}: {summarize(requests, executions)}")
         self.violations += [f"seed {self.seed}: {violation}" for violation in audit(requests, executions)]
@@ -233,18 +156,18 @@
 
     async def kill_core(self) -> None:
         """Kill all control nodes, for longer than any fetch is held."""
-        await self.restart(self.mesh.control, self.rng.choice((0.3, 2.0, 6.0)))
+        await self.restart(self.mesh.control_processes, self.rng.choice((0.3, 2.0, 6.0)))
 
     async def kill_control_node(self) -> None:
-        await self.restart([self.rng.choice(self.mesh.control)], self.rng.uniform(0.2, 3.0))
+        await self.restart([self.rng.choice(self.mesh.control_processes)], self.rng.uniform(0.2, 3.0))
 
     async def kill_sidecars(self) -> None:
         """Kill more than half of the sidecars at once."""
-        count = 1 + len(self.mesh.sidecars) // 2
-        await self.restart(self.rng.sample(self.mesh.sidecars, count), self.rng.uniform(0.2, 2.0))
+        count = 1 + len(self.mesh.sidecar_processes) // 2
+        await self.restart(self.rng.sample(self.mesh.sidecar_processes, count), self.rng.uniform(0.2, 2.0))
 
     async def terminate_sidecar(self) -> None:
-        process = self.rng.choice(self.mesh.sidecars)
+        process = self.rng.choice(self.mesh.sidecar_processes)
         process.send_signal(signal.SIGTERM)
         for _ in range(round(GRACE / PAUSE)):
             if not process.is_running():
@@ -253,14 +176,14 @@
         await self.restart([process], 0.2)
 
     async def stall_sidecar(self) -> None:
-        process = self.rng.choice(self.mesh.sidecars)
+        process = self.rng.choice(self.mesh.sidecar_processes)
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self.rng.uniform(0.5, 2.5))
         process.send_signal(signal.SIGCONT)
 
     async def reload_all(self) -> None:
         for _ in range(3):
-            for process in self.mesh.control + self.mesh.sidecars:
+            for process in self.mesh.processes:
                 process.send_signal(signal.SIGHUP)
             await asyncio.sleep(PAUSE)
 
