--- a/tests/mesh/cluster.py
+++ b/tests/mesh/cluster.py
@@ -9,7 +9,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 import uvloop
 
@@ -152,7 +152,7 @@
         }
         return node_settings.parse(json.dumps({**defaults, **overrides}).encode())
 
-    async def __aenter__(self) -> Mesh:
+    async def __aenter__(self) -> Self:
         self.control = ControlNode(
             self.make_settings(self.control_ip, "comb", StateDir=str(Path(self.folder.name) / "disk"))
         )
@@ -190,10 +190,12 @@
         lines = "".join(
             f"{name.replace('_', '-')}: {value}\r\n" for name, value in {"Host": "a.example", **headers}.items()
         )
-        writer.write(f"{method} {path} HTTP/1.1\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-        async with asyncio.timeout(TEST_TIMEOUT):
-            start, response_headers, response_body = await read_message(reader)
-        writer.close()
+        try:
+            writer.write(f"{method} {path} HTTP/1.1\r\n{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            async with asyncio.timeout(TEST_TIMEOUT):
+                start, response_headers, response_body = await read_message(reader)
+        finally:
+            writer.close()
         return int(start.split()[1]), response_headers, response_body
 
     async def send_request(
--- a/tests/mesh/processes.py
+++ b/tests/mesh/processes.py
@@ -15,10 +15,10 @@
 import subprocess
 import sys
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from mesh.cluster import Mesh, StubEndpoint, config, read_message
 
@@ -35,7 +35,8 @@
 WARM_UP_CLIENTS = 12
 HEARTBEAT_INTERVAL_S = 0.3
 HEARTBEAT_TIMEOUT_S = 0.5
-START_TIMEOUT_S = 15.0
+START_TIMEOUT_S = 15.0  # of a mesh of up to 15 processes
+START_TIMEOUT_PER_PROCESS_S = 1.0  # of a larger mesh
 KILL_TIMEOUT_S = 10.0
 LOG_TAIL_LENGTH = 2000  # characters of a process's log that are shown on failure
 
@@ -82,6 +83,7 @@
     outcome: Outcome = Outcome.NOT_SENT
     response_id: str = ""
     response_body: bytes = b""
+    sent_at: float = 0.0
     ended_at: float = 0.0
 
     @property
@@ -267,6 +269,7 @@
             f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: {len(request.request_body)}\r\n\r\n".encode()
             + request.request_body
         )
+        request.sent_at = asyncio.get_running_loop().time()
         start, headers, request.response_body = await read_message(self.reader)
         request.response_id = headers.get("x-attempt-id", "")
         request.outcome = OUTCOMES.get(int(start.split()[1]), Outcome.UNEXPECTED_STATUS)
@@ -318,13 +321,20 @@
         return self.popen.poll() is None
 
     def kill(self) -> None:
-        self.popen.kill()
-        self.popen.wait(KILL_TIMEOUT_S)
+        kill_all([self])
 
     def log_tail(self) -> str:
         return self.log_path.read_text(errors="replace")[-LOG_TAIL_LENGTH:]
 
 
+def kill_all(processes: Sequence[Process]) -> None:
+    """Kill processes within a fraction of a millisecond of each other, and wait until they have ended."""
+    for process in processes:
+        process.popen.kill()
+    for process in processes:
+        process.popen.wait(KILL_TIMEOUT_S)
+
+
 class ProcessMesh(Mesh):
     """Control processes, endpoints of :data:`SERVICE`, and a sidecar process for each of them.
 
@@ -369,7 +379,7 @@
             **overrides,
         }
 
-    async def __aenter__(self) -> ProcessMesh:
+    async def __aenter__(self) -> Self:
         try:
             await self.start()
         except BaseException:
@@ -388,7 +398,7 @@
             await endpoint.start()
             sidecar_settings = self.settings(ip, AppAddr=endpoint.address, Target=endpoint.service)
             self.processes.append(Process("sidecar", folder, sidecar_settings))
-        async with asyncio.timeout(START_TIMEOUT_S):
+        async with asyncio.timeout(max(START_TIMEOUT_S, START_TIMEOUT_PER_PROCESS_S * len(self.processes))):
             await self.put_first_configuration()
             self.heartbeat_task = asyncio.ensure_future(self.send_heartbeats())
             for ip in self.ips:
@@ -425,19 +435,23 @@
                 failures += 1
 
     async def send_heartbeats(self) -> None:
-        while True:
+        """Send the heartbeats of all endpoints, each independently of the others."""
+        async with asyncio.TaskGroup() as group:
             for index in range(len(self.endpoints)):
-                try:
-                    async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
-                        await self.send_heartbeat(index)
-                except (OSError, TimeoutError, asyncio.IncompleteReadError):
-                    continue  # the sidecar is stopped or has exited
+                group.create_task(self.send_heartbeats_of(index))
+
+    async def send_heartbeats_of(self, index: int) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
+                    await self.send_heartbeat(index)
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                pass  # the sidecar is stopped or has exited
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def __aexit__(self, *error: object) -> None:
         try:
-            for process in self.processes:
-                process.kill()
+            kill_all(self.processes)
         finally:
             if self.heartbeat_task is not None:
                 self.heartbeat_task.cancel()
