--- a/tests/mesh/cluster.py
+++ b/tests/mesh/cluster.py
@@ -167,8 +167,8 @@
 
     async def __aexit__(self, *error: object) -> None:
         for sidecar in self.sidecars:
-            for server in sidecar.servers:
-                server.close()
+            for listener in sidecar.listeners:
+                listener.server.close()
             sidecar.node.stop()
         for app in self.stub_endpoints:
             await app.stop()
--- a/tests/mesh/test_configuration_handout.py
+++ b/tests/mesh/test_configuration_handout.py
@@ -62,8 +62,8 @@
 
 async def crash(sidecar: Sidecar) -> None:
     """Stop a sidecar as if killed, without announcing that it leaves."""
-    for server in sidecar.servers:
-        server.close()
+    for listener in sidecar.listeners:
+        listener.server.close()
     sidecar.node.gossip_socket.close()
     sidecar.node.channels.close()
     if sidecar.node.server is not None:
@@ -226,8 +226,8 @@
             async with Mesh(["one", "two"]) as m:
                 await m.bring_up()
                 stopped = m.sidecars.pop()
-                for server in stopped.servers:
-                    server.close()
+                for listener in stopped.listeners:
+                    listener.server.close()
                 stopped.node.stop()
                 unreachable = [f"127.77.0.9:{m.port + 2}"]
                 new = Sidecar(
--- a/tests/mesh/test_endpoint_calls.py
+++ b/tests/mesh/test_endpoint_calls.py
@@ -111,8 +111,8 @@
                 with mock.patch.object(old.node.gossip_socket, "flush", flush_only_confirmed):
                     self.assertEqual(await m.send_heartbeat(0, "draining"), 200)
                     old.node.gossip_socket.close()
-                    for server in old.servers:
-                        server.close()
+                    for listener in old.listeners:
+                        listener.server.close()
                     if old.node.server is not None:
                         old.node.server.close()
                     old.node.channels.close()
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -24,6 +24,7 @@
 from ..transport.framed_connection import FramedConnection
 from ..transport.mesh_pb2 import ControlReply, EndpointInfo, Frame, Record
 from .forward_server import ForwardServer
+from .listening import Listener, listen
 from .local_endpoint import LocalEndpoint
 from .node import Node
 from .node_settings import NodeSettings
@@ -34,8 +35,9 @@
 MIN_DRAIN_PERIOD = 2.4  # s after SIGTERM; clients connect until two readiness checks, 1 s apart, have failed
 REFUSAL_PERIOD = 2.0  # s before the exit in which new requests are refused and open ones are completed
 GRACE_MARGIN = 0.6  # s before the end of the grace period at which the process exits, even with open requests
+LAST_REQUESTS_POLL_INTERVAL = 0.01  # s
 POLL_INTERVAL = 0.05  # s between two checks whether this process may exit
-LISTEN_BACKLOG = 2048
+LAST_REQUESTS_PERIOD = 0.2  # s at the exit in which clients that have connected before send their request
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_RETRY_WINDOW = 10.0  # s
 
@@ -69,9 +71,9 @@
             self.ingress.is_running_retry,
         )
         self.forward_server = ForwardServer(self.ingress, self.memory, lambda: self.egress.is_refusing)
-        self.listeners: list[tuple[RequestHandler, str]] = [(self.egress, "Egress")]
+        self.handlers: list[tuple[RequestHandler, str]] = [(self.egress, "Egress")]
         """Each with the purpose of the address that it listens on."""
-        self.servers: list[asyncio.Server] = []
+        self.listeners: list[Listener] = []
         self.is_stopping = False
         self.logged_readiness = False
         self.stale_services: set[str] = set()
@@ -96,13 +98,11 @@
         calls.add("POST /v1/endpoints/{id}/departure", self.local_endpoint.on_departure)
         calls.add("GET /v1/ready", self.on_ready)
         for purpose, router in (("Readiness", readiness), ("ControlPlane", calls)):
-            self.listeners.append((ControlApi(self.node.descriptors, self.host, router), purpose))
+            self.handlers.append((ControlApi(self.node.descriptors, self.host, router), purpose))
         await self.node.start()
-        for listener, purpose in self.listeners:
+        for handler, purpose in self.handlers:
             if purpose in self.settings.bind:
-                address = self.settings.bind[purpose]
-                server = await self.loop.create_server(listener.connection, *address, backlog=LISTEN_BACKLOG)
-                self.servers.append(server)
+                self.listeners.append(await listen(handler, self.settings.bind[purpose]))
         self.local_endpoint.check_heartbeats()
         self.loop.call_later(COUNTERS_INTERVAL, self.log_counters)
 
@@ -148,8 +148,8 @@
         self.is_stopping = True
         self.node.gossip.leave(started_at)
         self.node.gossip_socket.flush()
-        for listener, _ in self.listeners:
-            listener.begin_drain()
+        for handler, _ in self.handlers:
+            handler.begin_drain()
         while self.loop.time() - started_at < grace - GRACE_MARGIN:
             await asyncio.sleep(POLL_INTERVAL)
             elapsed = self.loop.time() - started_at
@@ -158,13 +158,20 @@
             if self.is_idle() and elapsed > MIN_DRAIN_PERIOD:
                 break
         self.egress.is_refusing = True
-        for server in self.servers:
-            server.close()
+        for listener in self.listeners:
+            await listener.close()
+        await self.refuse_last_requests()
         self.egress.close_idle()
-        for listener, _ in self.listeners:
-            listener.stop()
+        for handler, _ in self.handlers:
+            handler.stop()
         self.node.stop()
 
+    async def refuse_last_requests(self) -> None:
+        """Wait until the clients that are connected have sent their last request and read its refusal."""
+        deadline = self.loop.time() + LAST_REQUESTS_PERIOD
+        while self.egress.count() and self.loop.time() < deadline:
+            await asyncio.sleep(LAST_REQUESTS_POLL_INTERVAL)
+
     def is_idle(self) -> bool:
         """Return whether all requests, of this machine and forwarded to it, are completed and their answers written."""
         return not (
