--- a/tests/mesh/test_distribution_days.py
+++ b/tests/mesh/test_distribution_days.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
+import sys
 import unittest
 
 from mesh.cases import params
@@ -39,6 +42,30 @@
     return [name for name in field.sidecars if name in field.processes and field.active_index(name) < field.committed]
 
 
+PLAY = """
+from zinclever.mesh.model.distribution_field import DistributionField
+field = DistributionField(sidecars=50, control_count=3, seed=1, loss=0.02)
+field.run(8.0)
+print([(name, gossip.counters.as_dict()) for name, gossip in field.gossips.items()])
+"""
+
+
+class Repetition(unittest.TestCase):
+    # Guards against a seed that plays another day in another process: then what it found can't be looked at again.
+    def test_a_seed_plays_the_same_day_whatever_the_order_of_sets(self) -> None:
+        played = [
+            subprocess.run(
+                [sys.executable, "-c", PLAY],
+                env={**os.environ, "PYTHONHASHSEED": str(hash_seed)},
+                capture_output=True,
+                check=True,
+            ).stdout
+            for hash_seed in (1, 2, 3)
+        ]
+        self.assertTrue(played[0])
+        self.assertEqual(played, played[:1] * 3)
+
+
 class Losses(unittest.TestCase):
     # Guards against sidecars that wait for each other for a text that only the core has (incident of 2026-12-04).
     def test_sidecars_get_a_version_that_was_announced_just_before_the_core_lost_power(self) -> None:
--- a/zinclever/mesh/membership/broadcasts.py
+++ b/zinclever/mesh/membership/broadcasts.py
@@ -83,7 +83,7 @@
         for broadcast_id, broadcast in self.awaiting_receipts.items():
             if now - broadcast.sent_at >= RECEIPT_RETRY_INTERVAL:
                 broadcast.sent_at = now
-                for name in broadcast.recipients - broadcast.confirmed_by:
+                for name in sorted(broadcast.recipients - broadcast.confirmed_by):
                     message = GossipMessage(records=[broadcast.record], receipt_request=broadcast_id)
                     self.transmitter.send(name, message)
 
--- a/zinclever/mesh/membership/record_store.py
+++ b/zinclever/mesh/membership/record_store.py
@@ -47,7 +47,8 @@
         self.nodes_revision = 0
         """Incremented by every change of a node record."""
         self.range_digests = [0] * RANGE_COUNT
-        self.range_keys: list[set[RecordKey]] = [set() for _ in range(RANGE_COUNT)]
+        self.range_keys: list[dict[RecordKey, None]] = [{} for _ in range(RANGE_COUNT)]
+        """Keys in the order of arrival: that of a set differs between processes, and simulations have to repeat."""
 
     def get(self, kind: int, id: str) -> Record | None:
         """Return the record of a key, or None if there is none."""
@@ -102,7 +103,7 @@
         self.nodes_revision += record.kind == RecordKind.NODE
         index = range_index(key)
         self.range_digests[index] ^= fingerprint(key, precedence(record))
-        self.range_keys[index].add(key)
+        self.range_keys[index][key] = None
         if record.rank >= ENDED_RANK:
             self.ended_at[key] = now
         return True
@@ -121,7 +122,7 @@
         """Remove a record from the digest of its range."""
         index = range_index(key)
         self.range_digests[index] ^= fingerprint(key, precedence(record))
-        self.range_keys[index].discard(key)
+        self.range_keys[index].pop(key, None)
 
     def expire(self, now: float) -> None:
         """Exclude old tombstones from the digests, and remove them after their retention period."""
