--- a/tests/mesh/test_program.py
+++ b/tests/mesh/test_program.py
@@ -41,6 +41,16 @@
             process.kill()
             process.wait()
 
+    # Guards against an exit code other than 0 after a SIGTERM that comes while the modules are imported.
+    @params("sidecar", "control")
+    def test_terminated_before_the_start(self, role: str) -> None:
+        process = subprocess.Popen([sys.executable, "meshd.py", role], cwd=ROOT, stderr=subprocess.PIPE)
+        while not ignores_hangup(process.pid):
+            self.assertIsNone(process.poll())
+        process.terminate()
+        _, output = process.communicate(timeout=60)
+        self.assertEqual((process.returncode, output), (0, b""))
+
     @params("sidecar", "control")
     def test_invalid_settings(self, role: str) -> None:
         with tempfile.TemporaryDirectory() as directory:
