--- a/tests/mesh/soak.py
+++ b/tests/mesh/soak.py
@@ -1,191 +1,307 @@
 """Soak of real processes: signals, restarts and changes of the configuration come in series and overlap.
 
-Clients go on sending on their open connections until a process is gone. Checked are the invariants of request
-execution, and that each sidecar which has been in touch uses the newest configuration. Run one from the repository with
-``PYTHONPATH=.:tests python -m mesh.soak --seeds 1 --sidecars 6``. Times are in seconds.
+Clients go on sending on their open connections until a process is gone, and every sidecar is probed all the while.
+Checked are the invariants of request execution, that sidecars in touch use the newest acknowledged version and answer,
+that none goes back to an earlier version, that requests survive planned work, and what is read back at the end. Run it
+from the repository with ``PYTHONPATH=.:tests python -m mesh.soak --seeds 1 --sidecars 6``. Times are in seconds.
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
-import json
 import random
-import signal
+import shutil
 import sys
-from collections.abc import Awaitable, Callable
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
 
 import uvloop
 
-from mesh.cluster import config
-from mesh.processes import SERVICE, Client, Process, ProcessMesh, RouteClass, audit, summarize
+from mesh.machines import Contact, Machine
+from mesh.processes import Client, RouteClass, audit, kill_all, summarize
+from mesh.soak_checks import LossCheck, VersionCheck
+from mesh.versioned_mesh import PROBE_ID_PREFIX, ConfigurationRefusedError, VersionedMesh
 from zinclever.mesh.model.distribution_days import APPLY_BOUND, CONTACT_PERIOD
 
 CONTROL_NODES = 3
-ROUNDS = 4
-TROUBLES_PER_ROUND = 3
 GRACE = 6.0
-PAUSE = 0.05  # of a client between two requests
-CALL_TIMEOUT = 4.0
-PROBE_ID = "probe"
-
-
-class SoakMesh(ProcessMesh):
-    """A mesh whose configurations each have a route of their own, by which their effect is seen."""
-
-    def __init__(self, sidecars: int) -> None:
-        super().__init__(sidecars=sidecars, control_nodes=CONTROL_NODES, grace=GRACE)
-        self.generation = 0
-
-    async def start(self) -> None:
-        await super().start()
-        for process in self.processes:
-            process.settings["Bootstrap"] = False
-
-    async def put_first_configuration(self) -> None:
-        await self.change()
-
-    # --- the operator ---
-
-    async def change(self) -> None:
-        """Replace the configuration by one that only has the route of its own generation, and wait for 200."""
-        self.generation += 1
-        text = config(SERVICE, generation=self.generation)
-        text["Routes"]["marker"] = {**text["Routes"][f"{SERVICE}-safe"], "PathPrefix": f"/v{self.generation}/"}
-        body = json.dumps(text).encode()
-        number = 0
-        while True:
-            address = f"{self.control_ips[number % CONTROL_NODES]}:{self.port + 2}"
-            number += 1
-            try:
-                async with asyncio.timeout(CALL_TIMEOUT):
-                    status, _, _ = await self.call(
-                        address, "POST", "/v1/config/replace", body, X_Base_Version=str(self.generation - 1)
-                    )
-            except (OSError, TimeoutError, asyncio.IncompleteReadError):
-                status = 503
-            if status == 200:
-                return
-            await asyncio.sleep(PAUSE)
+ROUNDS = 2  # of overlapping troubles, each followed by a calm
+TROUBLED_PERIOD = 15.0  # in which troubles begin
+CALM_PERIOD = 2.0  # after the time from which all sidecars have to use the newest version
+MAX_CONCURRENT = 6  # troubles under way
+GAPS = (0.0, 0.01, 0.1, 0.5, 1.5)  # between the beginnings of two troubles
+OUTAGES = (0.3, 2.0, 5.0, 6.0, 8.0)  # of the core
+KILL_DELAYS = (0.0, 0.001, 0.004, 0.02)  # from an acknowledgement to the loss of the core
+CLIENT_PAUSE = 0.05  # of a client between two requests
+MAX_CLIENTS = 12
+ACKNOWLEDGEMENT_BOUND = 4.0  # AckS of the rules
+PROBE_INTERVAL = 0.25
+MAX_PROBE_RATE = 40.0  # probes/s of all sidecars together
+READ_PERIOD = 3.0  # in which the configuration can be read back at the end
+SETTLE_PERIOD = 1.0  # after the load, in which late executions are still recorded
+
+Trouble = Callable[[random.Random], Coroutine[Any, Any, None]]
+
 
-    async def is_stale(self, index: int) -> bool:
-        """Return whether a sidecar refuses the route that the newest configuration has."""
-        address = f"{self.ips[index]}:{self.port + 2}"
-        request_id = f"{PROBE_ID}-{next(self.ids)}"
-        try:
-            status, _, _ = await self.call(address, "GET", f"/v{self.generation}/x", X_Attempt_Id=request_id)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            return False
-        return status == 404
+@dataclass(frozen=True)
+class Kind:
+    """A kind of trouble, and how often it is chosen."""
+
+    trouble: Trouble
+    weight: int
 
 
 class Soak:
-    """One soak: rounds of overlapping changes and troubles, each followed by a check of all sidecars."""
+    """One soak: rounds of overlapping troubles, each followed by a calm in which every sidecar has to be up to date."""
 
-    def __init__(self, seed: int, sidecars: int) -> None:
+    def __init__(self, seed: int, sidecars: int, keep: Path | None = None, rounds: int = ROUNDS) -> None:
         self.rng = random.Random(seed)
         self.seed = seed
-        self.mesh = SoakMesh(sidecars)
+        self.keep, self.rounds = keep, rounds
+        self.mesh = VersionedMesh(sidecars, CONTROL_NODES, GRACE, idle_routes=self.rng.choice((0, 400)))
+        self.only_planned = self.rng.random() < 0.3
+        self.controls: list[Machine] = []
+        self.sidecars: list[Machine] = []
+        self.contact = Contact([], [])
+        self.versions = VersionCheck(lambda sidecar, since: self.contact.in_touch(sidecar, since))
         self.violations: list[str] = []
+        self.begun: Counter[str] = Counter()
+        self.operator = asyncio.Lock()
         self.clients: list[Client] = []
-        self.troubles: list[Callable[[], Awaitable[None]]] = [
-            self.kill_core,
-            self.kill_control_node,
-            self.terminate_sidecar,
-            self.kill_sidecars,
-            self.stall_sidecar,
-            self.reload_all,
-            self.mesh.change,
-        ]
 
     async def run(self) -> list[str]:
         """Run the soak, and return what was violated."""
         async with self.mesh:
+            self.set_up_machines()
             ended = asyncio.Event()
-            self.clients = [Client(ip, self.mesh.port + 2, persistent=True) for ip in self.mesh.ips]
-            load = [asyncio.ensure_future(self.send_requests(client, ended)) for client in self.clients]
-            for number in range(ROUNDS):
-                await self.play_round(number)
+            ips = self.mesh.ips[:MAX_CLIENTS]
+            self.clients = [Client(ip, self.mesh.port + 2, persistent=True) for ip in ips]
+            tasks = [asyncio.ensure_future(self.send_requests(client, ended)) for client in self.clients]
+            tasks += [asyncio.ensure_future(self.send_probes(index, ended)) for index in range(len(self.sidecars))]
+            try:
+                for _ in range(self.rounds):
+                    await self.play_round()
+                await self.check_read_back()
+            except ConfigurationRefusedError as error:
+                self.violations.append(str(error))
             ended.set()
-            await asyncio.gather(*load)
-            await asyncio.sleep(1.0)  # executions that end late are still recorded
+            await asyncio.gather(*tasks)
+            await asyncio.sleep(SETTLE_PERIOD)
             self.check_requests()
+            self.collect()
         return self.violations
 
+    def set_up_machines(self) -> None:
+        port = self.mesh.port + 2
+        self.controls = [Machine(p, p.settings["Ip"], port) for p in self.mesh.control_processes]
+        self.sidecars = [Machine(p, p.settings["Ip"], port) for p in self.mesh.sidecar_processes]
+        self.contact = Contact(self.controls, self.sidecars)
+        self.versions.on_acknowledged(self.mesh.acknowledged, asyncio.get_running_loop().time())
+
+    async def play_round(self) -> None:
+        """Start troubles that overlap, and then wait until every sidecar has to use the newest version."""
+        loop = asyncio.get_running_loop()
+        kinds = self.kinds()
+        under_way: set[asyncio.Task[None]] = set()
+        end = loop.time() + TROUBLED_PERIOD
+        while loop.time() < end:
+            (kind,) = self.rng.choices(kinds, [kind.weight for kind in kinds])
+            rng = random.Random(self.rng.random())  # of its own, as the order of concurrent draws is not repeatable
+            if len(under_way) < MAX_CONCURRENT:
+                self.begun[kind.trouble.__name__] += 1
+                task = loop.create_task(kind.trouble(rng))
+                under_way.add(task)
+                task.add_done_callback(under_way.discard)
+            await asyncio.sleep(self.rng.choice(GAPS))
+        await asyncio.gather(*under_way)
+        closing = self.rng.choice(self.closing_troubles())
+        self.begun[f"closing {closing.__name__}"] += 1
+        await closing(random.Random(self.rng.random()))
+        await self.check_sidecars(max(APPLY_BOUND, CONTACT_PERIOD), CALM_PERIOD)
+
+    async def check_sidecars(self, delay: float, period: float) -> None:
+        """Wait until all sidecars are in touch; then each has to be seen with the newest version."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(delay)
+        since, newest = loop.time(), self.mesh.acknowledged
+        await asyncio.sleep(period)
+        for index in range(len(self.sidecars)):
+            probe = await self.mesh.probe(index, newest)
+            if self.versions.on_probe(probe) and newest not in self.versions.seen_at[index]:
+                in_touch = self.contact.in_touch(index, since)
+                self.violations.append(f"sidecar {index} was not seen with version {newest} (in touch: {in_touch})")
+
+    # --- requests ---
+
     async def send_requests(self, client: Client, ended: asyncio.Event) -> None:
         while not ended.is_set():
             route_class = RouteClass.NON_IDEMPOTENT if len(client.requests) % 2 else RouteClass.IDEMPOTENT
             await client.send(route_class)
-            await asyncio.sleep(PAUSE)
+            await asyncio.sleep(CLIENT_PAUSE)
         client.close()
 
-    async def play_round(self, number: int) -> None:
-        """Change the configuration, start troubles at once or soon after it, and check all sidecars afterwards."""
-        chosen = self.rng.sample(self.troubles, TROUBLES_PER_ROUND)
-        await self.mesh.change()
-        under_way = []
-        for trouble in chosen:
-            under_way.append(asyncio.ensure_future(trouble()))
-            await asyncio.sleep(self.rng.choice((0.0, 0.01, 0.5, 2.0)))
-        await asyncio.gather(*under_way)
-        await self.mesh.change()
-        await asyncio.sleep(max(APPLY_BOUND, CONTACT_PERIOD))
-        names = ", ".join(trouble.__name__ for trouble in chosen)
-        for index, ip in enumerate(self.mesh.ips):
-            if await self.mesh.is_stale(index):
-                log = self.mesh.sidecar_processes[index].log_tail()
-                self.violations.append(f"seed {self.seed}, round {number} ({names}): {ip} is stale\n{log}")
+    async def send_probes(self, index: int, ended: asyncio.Event) -> None:
+        interval = max(PROBE_INTERVAL, len(self.sidecars) / MAX_PROBE_RATE)
+        running = self.sidecars[index].process.popen
+        while not ended.is_set():
+            probe = await self.mesh.probe(index, self.mesh.acknowledged)
+            if self.sidecars[index].process.popen is running:
+                self.versions.on_probe(probe)
+            else:  # a new process may have been asked, or none
+                running = self.sidecars[index].process.popen
+                self.versions.on_started(index)
+            await asyncio.sleep(interval)
 
     def check_requests(self) -> None:
         requests = [request for client in self.clients for request in client.requests]
-        executions = [
-            execution for execution in self.mesh.audited_executions() if not execution.id.startswith(PROBE_ID)
-        ]
+        executions = [e for e in self.mesh.audited_executions() if not e.id.startswith(PROBE_ID_PREFIX)]
         print(f"seed {self.seed}: {summarize(requests, executions)}")
-        self.violations += [f"seed {self.seed}: {violation}" for violation in audit(requests, executions)]
+        self.violations += [str(violation) for violation in audit(requests, executions)]
+        unplanned = [at for machine in (*self.controls, *self.sidecars) for at in machine.unplanned]
+        self.violations += LossCheck(unplanned).violations(requests, executions)
+
+    async def check_read_back(self) -> None:
+        """Read the configuration back: every answer has to be the newest version, and one has to come."""
+        loop = asyncio.get_running_loop()
+        end, was_read = loop.time() + READ_PERIOD, False
+        while loop.time() < end:
+            for number in range(CONTROL_NODES):
+                version = await self.mesh.read_version(number)
+                was_read = was_read or version == self.mesh.acknowledged
+                if version not in (0, self.mesh.acknowledged):
+                    self.violations.append(f"version {version} was read back instead of {self.mesh.acknowledged}")
+            if was_read:
+                return
+        self.violations.append(f"version {self.mesh.acknowledged} can't be read back")
+
+    def collect(self) -> None:
+        """Add the violations of all checks, and keep the logs if there are any."""
+        problems = [problem for machine in (*self.controls, *self.sidecars) for problem in machine.problems]
+        found = [*self.violations, *self.versions.violations, *problems]
+        plan = ", ".join(f"{name} {count}" for name, count in sorted(self.begun.items()))
+        print(f"seed {self.seed}: {self.mesh.acknowledged} versions; {plan}; {len(found)} violations")
+        self.violations = [f"seed {self.seed}: {violation}" for violation in found]
+        print(*self.violations, sep="\n", flush=True)
+        if found and self.keep is not None:
+            shutil.copytree(self.mesh.folder.name, self.keep / f"seed-{self.seed}", dirs_exist_ok=True)
 
     # --- troubles; each ends when all that it stopped runs again ---
 
-    async def restart(self, processes: list[Process], outage: float) -> None:
-        for process in processes:
-            process.kill()
+    def kinds(self) -> list[Kind]:
+        planned = [
+            Kind(self.change, 4),
+            Kind(self.change_in_series, 2),
+            Kind(self.reload_all, 2),
+            Kind(self.terminate_sidecar, 2),
+        ]
+        if self.only_planned:
+            return planned
+        return [
+            *planned,
+            Kind(self.terminate_control_node, 1),
+            Kind(self.change_and_lose_core, 2),
+            Kind(self.lose_core, 1),
+            Kind(self.kill_control_node, 2),
+            Kind(self.kill_sidecars, 1),
+            Kind(self.freeze_sidecar, 2),
+            Kind(self.freeze_control_node, 1),
+        ]
+
+    def closing_troubles(self) -> list[Trouble]:
+        """Return what may end the troubles of a round: no other change or trouble comes before the check."""
+        if self.only_planned:
+            return [self.change, self.terminate_sidecar]
+        return [self.change_and_lose_core, self.change_and_lose_core, self.change_and_kill_sidecars, self.change]
+
+    async def change(self, rng: random.Random) -> None:
+        loop = asyncio.get_running_loop()
+        async with self.operator:
+            sent_at = loop.time()
+            version = await self.mesh.change()
+            elapsed = loop.time() - sent_at
+            self.versions.on_acknowledged(version, loop.time())
+        if elapsed > ACKNOWLEDGEMENT_BOUND + self.mesh.change_timeout and self.contact.is_settled(sent_at):
+            self.violations.append(f"version {version} was acknowledged after {elapsed:.1f} s, with a settled core")
+
+    async def change_in_series(self, rng: random.Random) -> None:
+        for _ in range(rng.randint(3, 8)):
+            await self.change(rng)
+
+    async def change_and_lose_core(self, rng: random.Random) -> None:
+        """Kill all control nodes within milliseconds of an acknowledgement."""
+        async with self.operator:
+            version = await self.mesh.change_and_kill(self.mesh.control_processes, rng.choice(KILL_DELAYS))
+            self.versions.on_acknowledged(version, asyncio.get_running_loop().time())
+            await self.restart(self.controls, rng.choice(OUTAGES))
+
+    async def change_and_kill_sidecars(self, rng: random.Random) -> None:
+        """Kill most sidecars within milliseconds of an acknowledgement."""
+        async with self.operator:
+            victims = rng.sample(self.sidecars, max(1, 2 * len(self.sidecars) // 3))
+            version = await self.mesh.change_and_kill([m.process for m in victims], rng.choice(KILL_DELAYS))
+            self.versions.on_acknowledged(version, asyncio.get_running_loop().time())
+            await self.restart(victims, rng.choice(OUTAGES))
+
+    async def lose_core(self, rng: random.Random) -> None:
+        await self.restart(self.controls, rng.choice(OUTAGES))
+
+    async def kill_control_node(self, rng: random.Random) -> None:
+        await self.restart([rng.choice(self.controls)], rng.uniform(0.2, 5.0))
+
+    async def kill_sidecars(self, rng: random.Random) -> None:
+        """Kill up to two thirds of the sidecars at once."""
+        count = rng.randint(1, max(1, 2 * len(self.sidecars) // 3))
+        await self.restart(rng.sample(self.sidecars, count), rng.uniform(0.2, 3.0))
+
+    async def restart(self, machines: list[Machine], outage: float) -> None:
+        kill_all([machine.process for machine in machines])
+        for machine in machines:
+            machine.on_killed()
         await asyncio.sleep(outage)
-        for process in processes:
-            if not process.is_running():
-                process.start()
-
-    async def kill_core(self) -> None:
-        """Kill all control nodes, for longer than any fetch is held."""
-        await self.restart(self.mesh.control_processes, self.rng.choice((0.3, 2.0, 6.0)))
-
-    async def kill_control_node(self) -> None:
-        await self.restart([self.rng.choice(self.mesh.control_processes)], self.rng.uniform(0.2, 3.0))
-
-    async def kill_sidecars(self) -> None:
-        """Kill more than half of the sidecars at once."""
-        count = 1 + len(self.mesh.sidecar_processes) // 2
-        await self.restart(self.rng.sample(self.mesh.sidecar_processes, count), self.rng.uniform(0.2, 2.0))
-
-    async def terminate_sidecar(self) -> None:
-        process = self.rng.choice(self.mesh.sidecar_processes)
-        process.send_signal(signal.SIGTERM)
-        for _ in range(round(GRACE / PAUSE)):
-            if not process.is_running():
-                break
-            await asyncio.sleep(PAUSE)
-        await self.restart([process], 0.2)
-
-    async def stall_sidecar(self) -> None:
-        process = self.rng.choice(self.mesh.sidecar_processes)
-        process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.5, 2.5))
-        process.send_signal(signal.SIGCONT)
-
-    async def reload_all(self) -> None:
-        for _ in range(3):
-            for process in self.mesh.processes:
-                process.send_signal(signal.SIGHUP)
-            await asyncio.sleep(PAUSE)
+        await asyncio.gather(*(machine.start() for machine in machines))
+
+    async def terminate_sidecar(self, rng: random.Random) -> None:
+        await self.terminate(rng.choice(self.sidecars), rng)
+
+    async def terminate_control_node(self, rng: random.Random) -> None:
+        await self.terminate(rng.choice(self.controls), rng)
+
+    async def terminate(self, machine: Machine, rng: random.Random) -> None:
+        await machine.terminate(GRACE)
+        await asyncio.sleep(rng.uniform(0.0, 1.0))
+        await machine.start()
+
+    async def freeze_sidecar(self, rng: random.Random) -> None:
+        await self.freeze(rng.choice(self.sidecars), rng)
+
+    async def freeze_control_node(self, rng: random.Random) -> None:
+        await self.freeze(rng.choice(self.controls), rng)
+
+    async def freeze(self, machine: Machine, rng: random.Random) -> None:
+        machine.freeze()
+        await asyncio.sleep(rng.uniform(0.2, 4.0))
+        machine.thaw()
+
+    async def reload_all(self, rng: random.Random) -> None:
+        """Send SIGHUP to all processes several times, whatever they are doing."""
+        for _ in range(rng.randint(1, 5)):
+            for machine in (*self.controls, *self.sidecars):
+                machine.reload()
+            await asyncio.sleep(rng.uniform(0.0, 0.1))
+
+
+def run_soak(make_soak: Callable[[], Soak]) -> list[str]:
+    """Run a soak on an event loop of its own, and return its violations."""
+
+    async def run() -> list[str]:
+        return await make_soak().run()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(run())
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -194,12 +310,12 @@
     parser.add_argument("--seeds", type=int, default=1, help="number of soaks (default: %(default)s)")
     parser.add_argument("--first", type=int, default=1, help="seed of the first soak (default: %(default)s)")
     parser.add_argument("--sidecars", type=int, default=6, help="sidecars of each (default: %(default)s)")
+    parser.add_argument("--keep", type=Path, help="folder for the logs of soaks with violations")
     options = parser.parse_args(arguments)
     violations: list[str] = []
     for seed in range(options.first, options.first + options.seeds):
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            violations += runner.run(Soak(seed, options.sidecars).run())
-    print(*violations, f"{options.seeds} soaks, {len(violations)} violations", sep="\n")
+        violations += run_soak(lambda seed=seed: Soak(seed, options.sidecars, options.keep))  # type: ignore[misc]
+    print(f"{options.seeds} soaks, {len(violations)} violations")
     return 1 if violations else 0
 
 
--- a/tests/mesh/versioned_mesh.py
+++ b/tests/mesh/versioned_mesh.py
@@ -23,7 +23,8 @@
 
 KEPT_MARKERS = 20  # versions whose marker routes a configuration has
 IDLE_ROUTES = 400  # of a large configuration; its text exceeds 64 KiB, so that the leader itself answers the operator
-CHANGE_TIMEOUT = 4.0  # of one call of the operator
+CHANGE_TIMEOUT = 1.0  # of one call of the operator
+CHANGE_TIMEOUT_PER_ROUTE = 0.003  # in addition
 CHANGE_RETRY_DELAY = 0.05
 MAX_REDIRECTIONS = 2
 PROBE_TIMEOUT = 2.5
@@ -33,6 +34,10 @@
 NO_ANSWER = 0  # stands for the status of a call without a complete answer
 
 
+class ConfigurationRefusedError(Exception):
+    """A valid configuration on top of the newest acknowledged version was refused."""
+
+
 class VersionSeen(enum.Enum):
     """What the answer to a probe says about the version that a sidecar uses."""
 
@@ -75,6 +80,10 @@
     async def put_first_configuration(self) -> None:
         await self.change()
 
+    @property
+    def change_timeout(self) -> float:
+        return CHANGE_TIMEOUT + CHANGE_TIMEOUT_PER_ROUTE * self.idle_routes
+
     def control_address(self, index: int) -> str:
         return f"{self.control_ips[index % len(self.control_ips)]}:{self.port + 2}"
 
@@ -101,12 +110,14 @@
         attempt = generation  # each change begins at another control node
         while True:
             address = self.control_address(attempt)
-            status = await asyncio.to_thread(replace_and_kill, address, generation - 1, body, victims, delay)
+            status = await asyncio.to_thread(
+                replace_and_kill, address, generation - 1, body, self.change_timeout, victims, delay
+            )
             if status == 200:
                 self.acknowledged = generation
                 return generation
             if status in (400, 412):
-                raise AssertionError(f"version {generation} was refused with {status}")
+                raise ConfigurationRefusedError(f"version {generation} was refused with {status}")
             attempt += 1
             await asyncio.sleep(CHANGE_RETRY_DELAY)
 
@@ -145,14 +156,16 @@
         return Probe(sidecar, generation, sent_at, loop.time(), status)
 
 
-def replace_and_kill(address: str, base: int, body: bytes, victims: Sequence[Process], delay: float) -> int:
+def replace_and_kill(
+    address: str, base: int, body: bytes, timeout: float, victims: Sequence[Process], delay: float
+) -> int:
     """Send a configuration to a control node, and kill processes once it is acknowledged.
 
     The calls block, as an event loop would react too late. Returns the status, :data:`NO_ANSWER` without one.
     """
     headers = {"X-Base-Version": str(base), "Content-Type": "application/json"}
     for _ in range(1 + MAX_REDIRECTIONS):
-        connection = HTTPConnection(address, timeout=CHANGE_TIMEOUT)
+        connection = HTTPConnection(address, timeout=timeout)
         try:
             connection.request("POST", "/v1/config/replace", body, headers)
             response = connection.getresponse()
