--- a/tests/mesh/test_mesh.py
+++ b/tests/mesh/test_mesh.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from mesh.cases import params
-from mesh.cluster import Mesh, Responder, not_executed, ok_response, run, wait_until
+from mesh.cluster import Mesh, Responder, config, not_executed, ok_response, run, wait_until
 from zinclever.mesh.dataplane.ingress import Ingress
 from zinclever.mesh.roles.forward_server import ForwardServer, InboundForward
 from zinclever.mesh.transport.channel import Channel
@@ -48,6 +48,26 @@
     return ok_response(headers).replace(b"200 OK", b"500 Error")
 
 
+class HeadLimit(unittest.TestCase):
+    # Guards against a limit on the head of a request that isn't that of the configuration.
+    @params(
+        ("within a small limit", 2048, 1024, 200),
+        ("above a small limit", 2048, 3 * 1024, 431),
+        ("within a large limit", 60 * 1024, 50 * 1024, 200),
+        ("above a large limit", 60 * 1024, 70 * 1024, 431),
+    )
+    def test_limit_of_the_configuration(self, name: str, limit: int, header: int, status: int) -> None:
+        async def test() -> None:
+            async with Mesh(["one"]) as m:
+                await m.bring_up()
+                await m.put_until_definite({**config("one", generation=2), "Limits": {"MaxHeaderBytes": limit}}, 1)
+                await wait_until(lambda: m.sidecars[0].node.active.generation == 2)
+                answer, _, _ = await m.send_request("/one/unsafe/x", "POST", body=b"body", X_Fill="x" * header)
+                self.assertEqual(answer, status)
+
+        run(test)
+
+
 class OneEndpoint(unittest.TestCase):
     """The response of the endpoint, the status that the client receives, and the number of executions."""
 
--- a/zinclever/http1/request_handler.py
+++ b/zinclever/http1/request_handler.py
@@ -16,7 +16,7 @@
 from ..core.protocol import FinalAnswer, IncomingRequest
 from .bodies import DEFAULT_BODY_MEMORY, Body, MemoryBudget
 from .clients import ConnectionRegistry
-from .connection import Headers
+from .connection import MAX_HEAD_SIZE, Headers
 from .heads import CompleteRequest, HttpResponse
 from .server import ServerConnection
 
@@ -29,6 +29,8 @@
         self.room = MemoryBudget(DEFAULT_BODY_MEMORY)
         """Memory for bodies larger than UNRESERVED_BODY_SIZE."""
         self.draining = False
+        self.max_head_size = MAX_HEAD_SIZE
+        """Limit on the head of a request in bytes."""
         self.max_body_size = 0
         """Limit on a request body in bytes; if 0, MAX_REQUEST_BODY applies."""
         self.requires_complete_body = False
--- a/zinclever/http1/server.py
+++ b/zinclever/http1/server.py
@@ -15,7 +15,6 @@
 from .clients import READ_FOR, ConnectionState
 from .connection import (
     MAX_BUFFERED_BODY,
-    MAX_HEAD_SIZE,
     NON_FORWARDED_HEADERS,
     OPTIONAL_WHITESPACE,
     Headers,
@@ -145,7 +144,9 @@
 
     def check_limits(self) -> None:
         """Limit the memory of an incomplete request: the parser buffers a header until its end."""
-        max_raw_bytes = MAX_CHUNKED_OVERHEAD + MAX_CHUNKED_RATIO * self.size if self.in_body else MAX_HEAD_SIZE
+        max_raw_bytes = self.handler.max_head_size
+        if self.in_body:
+            max_raw_bytes += MAX_CHUNKED_OVERHEAD + MAX_CHUNKED_RATIO * self.size
         if self.request_started and self.raw_bytes > max_raw_bytes:
             self.reject(413 if self.in_body else 431)
         elif self.request_started and self.state is ConnectionState.IDLE:
@@ -177,7 +178,7 @@
     def count_head_bytes(self, count: int) -> None:
         """Add to the size of the head. Raises Rejected with 431 if it is too long."""
         self.size += count
-        if self.size > MAX_HEAD_SIZE:
+        if self.size > self.handler.max_head_size:
             raise Rejected(431)
 
     def on_headers_complete(self) -> None:
--- a/zinclever/mesh/dataplane/egress.py
+++ b/zinclever/mesh/dataplane/egress.py
@@ -28,6 +28,7 @@
 MAX_CLIENT_WAIT = 3600.0  # s; upper limit of the timeout that a client states
 MIN_WAIT = 0.001  # s; lower limit of the time left for a request
 CLIENT_TIMEOUT_SLACK = 0.5  # s added to the configured header timeout; also the minimum idle timeout
+MAX_HEAD_BYTES = 1 << 20  # upper limit of the configured size of a request head, which is buffered whole
 MAX_MEMORY_SHARE = 0.25  # of the memory that bodies may take: each is held once here and once while being forwarded
 RETRY_AFTER_SHARE = 0.25  # of the latency target: the minimum delay before a refused request is retried
 MIN_RETRY_AFTER = 0.02  # s; lower limit of Retry-After
@@ -92,6 +93,7 @@
         self.retry_detector.keep_only(configuration.routes)
         self.read_timeout = max(READ_FOR, configuration.header_timeout + CLIENT_TIMEOUT_SLACK)
         self.max_idle_time = max(CLIENT_TIMEOUT_SLACK, configuration.idle_timeout)
+        self.max_head_size = int(min(configuration.max_header_bytes, MAX_HEAD_BYTES))
         self.max_body_size = int(min(configuration.max_body_bytes, MAX_MEMORY_SHARE * memory))
         self.room.limit = int(max(self.max_body_size, MAX_MEMORY_SHARE * memory))
 
