Soak: kill victims that may have ended already, and end with a violation when it gets stuck

change_and_kill() took the ProcessLookupError of a control node that another trouble had killed for a call without an answer. It went on to change the configuration while nobody started the core again: lanes of the soak hung. A round is given 120 s now.

--- a/tests/mesh/soak.py
+++ b/tests/mesh/soak.py
@@ -31,6 +31,7 @@
 GRACE = 6.0
 ROUNDS = 2  # of overlapping troubles, each followed by a calm
 TROUBLED_PERIOD = 15.0  # in which troubles begin
+ROUND_TIMEOUT = 120.0  # far more than a round takes
 CALM_PERIOD = 2.0  # after the time from which all sidecars have to use the newest version
 MAX_CONCURRENT = 6  # troubles under way
 GAPS = (0.0, 0.01, 0.1, 0.5, 1.5)  # between the beginnings of two troubles
@@ -83,11 +84,14 @@
             tasks = [asyncio.ensure_future(self.send_requests(client, ended)) for client in self.clients]
             tasks += [asyncio.ensure_future(self.send_probes(index, ended)) for index in range(len(self.sidecars))]
             try:
-                for _ in range(self.rounds):
-                    await self.play_round()
-                await self.check_read_back()
+                async with asyncio.timeout(self.rounds * ROUND_TIMEOUT):
+                    for _ in range(self.rounds):
+                        await self.play_round()
+                    await self.check_read_back()
             except ConfigurationRefusedError as error:
                 self.violations.append(str(error))
+            except TimeoutError:
+                self.violations.append(f"the soak did not end; version {self.mesh.acknowledged} was acknowledged")
             ended.set()
             await asyncio.gather(*tasks)
             await asyncio.sleep(SETTLE_PERIOD)
--- a/tests/mesh/versioned_mesh.py
+++ b/tests/mesh/versioned_mesh.py
@@ -9,8 +9,6 @@
 import asyncio
 import enum
 import json
-import os
-import signal
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -172,7 +170,7 @@
             if response.status == 200:
                 time.sleep(delay)
                 for victim in victims:
-                    os.kill(victim.popen.pid, signal.SIGKILL)
+                    victim.popen.kill()
             if response.status != 307:
                 return response.status
             address = urlsplit(response.headers["Location"]).netloc
