--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -184,9 +184,34 @@
     run(test)
 
 
+def set_stall_timeout(monkeypatch: pytest.MonkeyPatch, seconds: float) -> None:
+    """Set the default of ``dial``: the constant itself is read only when that function is defined."""
+    defaults = (connection.MAX_BUFFERED_BODY, False, connection.STALL_TIMEOUT)
+    assert connection.dial.__defaults__ == defaults
+    monkeypatch.setattr(connection.dial, "__defaults__", (*defaults[:2], seconds))
+
+
+def test_stalled_server_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A response that stalls is given up after the timeout, long before the deadline of its request."""
+    set_stall_timeout(monkeypatch, 0.1)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_head(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n0")
+        await asyncio.Event().wait()
+
+    async def test() -> None:
+        async with endpoint(serve) as at, sidecar(send_to("e"), known(e=at)) as s:
+            started_at = asyncio.get_running_loop().time()
+            assert (await (await s.client()).fetch()).status != 200
+            assert asyncio.get_running_loop().time() < started_at + connection.STALL_TIMEOUT
+
+    run(test)
+
+
 def test_stalled_server_ends_the_stream(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(connection, "STREAM_STALL_TIMEOUT", 0.1)
-    monkeypatch.setattr(connection, "STALL_TIMEOUT", 0.05)
+    set_stall_timeout(monkeypatch, 0.05)
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await read_head(reader)
@@ -207,7 +232,7 @@
 
 def test_response_in_small_parts_is_not_a_stall(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against taking a slow server for a stalled one: the time between two reads counts, not the total time."""
-    monkeypatch.setattr(connection, "STALL_TIMEOUT", 0.2)
+    set_stall_timeout(monkeypatch, 0.2)
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await read_head(reader)
--- a/zinclever/mesh/model/members.py
+++ b/zinclever/mesh/model/members.py
@@ -37,8 +37,8 @@
     replica: Replica | None = None
     pending_persists: list[Persist] = field(default_factory=list)
     """Writes that were requested and are not durable yet, in order."""
-    terms: int = 0
-    """Lower bound on the replica's term."""
+    term: int = 0
+    """The replica's term when it was last looked at in the present life of its process."""
     paused: bool = False
     inbox: list[Arrival] = field(default_factory=list)
     """Messages and calls that came while the process was paused; read one by one after it resumes."""
@@ -124,6 +124,7 @@
         if m.disk.accepted is not None:
             accepted = LogEntry()
             accepted.CopyFrom(m.disk.accepted)
+        m.term = 0
         m.replica = self.replica_type(voter, self.founders, m.bootstrap, self.losses, self.now, m.disk.vote, accepted)
         m.replica.known_addresses = [(address, 1) for address in self.machines]
         m.pending_persists = []
@@ -261,9 +262,14 @@
                     self.check_agreement(action.entry)
                 elif isinstance(action, Reply):
                     self.record_reply(action)
-        assert m.replica.vote.term >= m.terms, "a term went back"
-        if m.disk.vote is not None:
-            m.terms = max(m.terms, 0)
+        self.check_term(m)
+
+    def check_term(self, m: Machine) -> None:
+        """Check that a replica's term has not gone back, neither in this life nor behind what its disk holds."""
+        assert m.replica is not None
+        durable = m.disk.vote.term if m.disk.vote is not None else 0
+        assert m.replica.vote.term >= max(m.term, durable), "a term went back"
+        m.term = m.replica.vote.term
 
     def send(self, m: Machine, action: Send) -> None:
         """Put a message in flight; it may be lost, duplicated and delayed."""
