--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -21,7 +21,7 @@
 from zinclever.mesh.model.explore_voters import VoterExplorer, VoterStart
 from zinclever.mesh.model.explored_state import Budget
 from zinclever.mesh.model.field import Field, endpoint
-from zinclever.mesh.model.histories import Told
+from zinclever.mesh.model.histories import CallOutcome
 from zinclever.mesh.model.members import World
 
 LOSS = 0.02  # share of datagrams lost
@@ -138,7 +138,7 @@
         if others:
             call = world.get(others[0])
             world.run(0.02, step=0.002)
-            if call is not None and call.told is Told.DONE:
+            if call is not None and call.outcome is CallOutcome.DONE:
                 return call.ended - started
         else:
             world.run(0.01, step=0.002)
--- a/tests/mesh/cluster.py
+++ b/tests/mesh/cluster.py
@@ -9,7 +9,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, Self
+from typing import Any, Self, TypeVar
 
 import uvloop
 
@@ -21,6 +21,7 @@
 DEFINITE_RESULT_TIMEOUT = 10.0  # s in which a repeated call of an operator has to get a response other than 503
 _network_numbers = itertools.count(1)
 
+Result = TypeVar("Result")
 Responder = Callable[[dict[str, str]], bytes | None]
 """Returns the response of an endpoint to a request with the given headers; None closes the connection."""
 
@@ -264,12 +265,12 @@
     return {"Generation": generation, "Routes": routes, "Services": {service: {} for service in services}}
 
 
-def run(test: Callable[[], Awaitable[None]]) -> None:
-    """Run a test on uvloop, the event loop used in production, with :data:`TEST_TIMEOUT`."""
+def run(test: Callable[[], Awaitable[Result]], timeout: float = TEST_TIMEOUT) -> Result:
+    """Run a test on uvloop, the event loop used in production, and return its result."""
 
-    async def bounded() -> None:
-        async with asyncio.timeout(TEST_TIMEOUT):
-            await test()
+    async def bounded() -> Result:
+        async with asyncio.timeout(timeout):
+            return await test()
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(bounded())
+        return runner.run(bounded())
--- a/tests/mesh/test_client_calls.py
+++ b/tests/mesh/test_client_calls.py
@@ -16,7 +16,7 @@
     direct_answer,
 )
 from zinclever.mesh.consensus.messages import ChangeCall
-from zinclever.mesh.model.histories import Call, Told, is_linearizable
+from zinclever.mesh.model.histories import Call, CallOutcome, is_linearizable
 from zinclever.mesh.model.members import World
 from zinclever.mesh.transport.mesh_pb2 import AppliedCall, LogEntry
 
@@ -39,22 +39,22 @@
     world.cut = {(a, b) for a in world.machines for b in world.machines if ip in (a, b) and a != b}
 
 
-def outcome_of(call: Call | None) -> Told:
+def outcome_of(call: Call | None) -> CallOutcome:
     assert call is not None
-    return call.told
+    return call.outcome
 
 
-def put_until_answered(world: World, base: int, generation: int, variant: int = 0, within: float = 6.0) -> Told:
+def put_until_answered(world: World, base: int, generation: int, variant: int = 0, within: float = 6.0) -> CallOutcome:
     """Send a change to the current leaders until one gives a definite answer."""
     deadline = world.now + within
     while world.now < deadline:
         for ip in world.leaders():
             call = world.put(ip, base, generation, variant)
             world.run(0.3)
-            if outcome_of(call) is not Told.INDETERMINATE:
+            if outcome_of(call) is not CallOutcome.INDETERMINATE:
                 return outcome_of(call)
         world.run(0.1)
-    return Told.INDETERMINATE
+    return CallOutcome.INDETERMINATE
 
 
 class QueueLimits(unittest.TestCase):
@@ -105,16 +105,16 @@
         world, old = self.replaced_leader(seed)
         call = world.put(old, 2, 3)  # before the old leader has handled a message or a tick
         world.run(1.0)
-        self.assertIsNot(outcome_of(call), Told.STALE)
+        self.assertIsNot(outcome_of(call), CallOutcome.STALE)
         self.assertTrue(is_linearizable(world.history))
-        self.assertIs(put_until_answered(world, 2, 3), Told.DONE)
+        self.assertIs(put_until_answered(world, 2, 3), CallOutcome.DONE)
 
     @params(*range(6))
     def test_generation_not_above_its_own_is_not_rejected(self, seed: int) -> None:
         world, old = self.replaced_leader(seed)
         call = world.put(old, 1, 1)
         world.run(1.0)
-        self.assertIsNot(outcome_of(call), Told.GENERATION_TOO_LOW)
+        self.assertIsNot(outcome_of(call), CallOutcome.GENERATION_TOO_LOW)
         self.assertTrue(is_linearizable(world.history))
 
     @params(*range(6))
@@ -161,7 +161,7 @@
         world.cut = {(old, ip) for ip in world.machines if ip != old}
         call = world.put(old, 0, 9)
         world.run(1.0)
-        self.assertIs(outcome_of(call), Told.INDETERMINATE)
+        self.assertIs(outcome_of(call), CallOutcome.INDETERMINATE)
 
 
 class Confirmations(unittest.TestCase):
@@ -177,7 +177,7 @@
             world.loss = 0.1
             read, refusal = world.get(ip), world.put(ip, 0, 9)
             world.run(CALLER_TIMEOUT)
-            if (outcome_of(read), outcome_of(refusal)) != (Told.DONE, Told.STALE):
+            if (outcome_of(read), outcome_of(refusal)) != (CallOutcome.DONE, CallOutcome.STALE):
                 unanswered.append(seed)
         self.assertEqual(unanswered, [])
 
@@ -189,14 +189,14 @@
         assert replica is not None
         earlier = world.get(old)
         world.run(0.3)
-        self.assertIs(outcome_of(earlier), Told.DONE)
+        self.assertIs(outcome_of(earlier), CallOutcome.DONE)
         isolate(world, old)
         later = world.get(old)
         for disk in ("d1", "d2", "d3"):
             replica.calls.confirmations.record(disk, replica.calls.confirmations.round - 1)
         replica.answer_confirmed()
         world.carry_out(world.machines[old])
-        self.assertIs(outcome_of(later), Told.INDETERMINATE)
+        self.assertIs(outcome_of(later), CallOutcome.INDETERMINATE)
         self.assertEqual(later.ended if later else 0.0, math.inf)
 
     def test_confirmations_are_discarded_at_the_end_of_a_term(self) -> None:
@@ -220,7 +220,7 @@
         }[kind]()
         world.run(CALL_TIMEOUT + 0.1)
         assert call is not None
-        self.assertIs(call.told, Told.INDETERMINATE)
+        self.assertIs(call.outcome, CallOutcome.INDETERMINATE)
         self.assertLess(call.ended - call.began, CALLER_TIMEOUT - 0.2)
 
     @params((0, 0.6), (32 * 1024, 0.6), (132_768, 1.6), (4_000_000, 2.5))
@@ -234,11 +234,11 @@
         (ip,) = world.leaders()
         first, second = world.put(ip, 1, 5, 1), world.put(ip, 1, 5, 2)
         world.run(0.5)
-        self.assertEqual((outcome_of(first), outcome_of(second)), (Told.DONE, Told.STALE))
+        self.assertEqual((outcome_of(first), outcome_of(second)), (CallOutcome.DONE, CallOutcome.STALE))
         read = world.get(ip)
         world.run(0.5)
         self.assertEqual(read.variant if read else 0, 1)
-        for variant, want in ((1, Told.DONE), (2, Told.STALE)):
+        for variant, want in ((1, CallOutcome.DONE), (2, CallOutcome.STALE)):
             repetition = world.put(ip, 1, 5, variant)
             world.run(0.5)
             self.assertIs(outcome_of(repetition), want)
@@ -258,7 +258,7 @@
         index = world.newest().index
         calls = [world.put(ip, 1, 2) for _ in range(3)]
         world.run(0.5)
-        self.assertEqual([outcome_of(c) for c in calls], [Told.DONE] * 3)
+        self.assertEqual([outcome_of(c) for c in calls], [CallOutcome.DONE] * 3)
         self.assertEqual(world.newest().index, index + 1)
 
     def test_change_based_on_a_pending_change(self) -> None:
@@ -266,7 +266,7 @@
         (ip,) = world.leaders()
         calls = [world.put(ip, n, n + 1) for n in range(1, 5)]
         world.run(0.5)
-        self.assertEqual([outcome_of(c) for c in calls], [Told.DONE] * 4)
+        self.assertEqual([outcome_of(c) for c in calls], [CallOutcome.DONE] * 4)
 
     def test_change_that_lost_to_a_concurrent_one_stays_rejected(self) -> None:
         world = started_cluster()
@@ -274,10 +274,10 @@
         world.put(ip, 1, 2)
         world.run(0.5)
         for _ in range(3):
-            self.assertIs(put_until_answered(world, 1, 3), Told.STALE)
+            self.assertIs(put_until_answered(world, 1, 3), CallOutcome.STALE)
         for base in range(2, 60):
-            self.assertIs(put_until_answered(world, base, base + 1), Told.DONE)
-        self.assertIs(put_until_answered(world, 1, 70), Told.STALE)
+            self.assertIs(put_until_answered(world, base, base + 1), CallOutcome.DONE)
+        self.assertIs(put_until_answered(world, 1, 70), CallOutcome.STALE)
 
     @params(1, 50, 300)
     def test_repeated_change_after_later_changes(self, others: int) -> None:
@@ -292,8 +292,10 @@
         repeated = world.put(ip, 0, 1)
         never_applied = world.put(ip, 0, others + 7)  # its generation is above all that are no longer remembered
         world.run(0.5)
-        self.assertIs(outcome_of(repeated), Told.DONE if others < MAX_APPLIED_CALLS else Told.INDETERMINATE)
-        self.assertIs(outcome_of(never_applied), Told.STALE)
+        self.assertIs(
+            outcome_of(repeated), CallOutcome.DONE if others < MAX_APPLIED_CALLS else CallOutcome.INDETERMINATE
+        )
+        self.assertIs(outcome_of(never_applied), CallOutcome.STALE)
 
     @params(*range(4))
     def test_repeated_change_after_a_leader_change(self, seed: int) -> None:
@@ -304,10 +306,10 @@
         world.run(0.01 * seed)
         world.kill(old)
         world.reply_loss = 0.0
-        self.assertIs(put_until_answered(world, 1, 2), Told.DONE)
+        self.assertIs(put_until_answered(world, 1, 2), CallOutcome.DONE)
         world.start(old)
-        self.assertIs(put_until_answered(world, 2, 3), Told.DONE)
-        self.assertIs(put_until_answered(world, 1, 2), Told.DONE)
+        self.assertIs(put_until_answered(world, 2, 3), CallOutcome.DONE)
+        self.assertIs(put_until_answered(world, 1, 2), CallOutcome.DONE)
         self.assertTrue(is_linearizable(world.history))
 
     @params(*range(4))
@@ -319,8 +321,8 @@
         for ip in list(world.machines):
             world.kill(ip)
         world.quiet(2.0)
-        self.assertIs(put_until_answered(world, 1, 2), Told.DONE)
-        self.assertIs(put_until_answered(world, 1, 3), Told.STALE)
+        self.assertIs(put_until_answered(world, 1, 2), CallOutcome.DONE)
+        self.assertIs(put_until_answered(world, 1, 3), CallOutcome.STALE)
         self.assertTrue(is_linearizable(world.history))
 
 
--- a/tests/mesh/test_core_outage.py
+++ b/tests/mesh/test_core_outage.py
@@ -6,8 +6,7 @@
 import unittest
 from dataclasses import dataclass
 
-import uvloop
-
+from mesh.cluster import run
 from mesh.processes import kill_all
 from mesh.versioned_mesh import IDLE_ROUTES, Probe, VersionedMesh, VersionSeen
 from zinclever.mesh.model.distribution_days import APPLY_BOUND, CONTACT_PERIOD
@@ -57,11 +56,9 @@
     # Guards against CONFIG, case 1 of the review: sidecars that wait for each other's text while the core is back.
     def test_acknowledged_version_is_in_force_once_the_core_is_back(self) -> None:
         async def test() -> list[list[Probe]]:
-            async with asyncio.timeout(TEST_TIMEOUT):
-                return await asyncio.gather(*(probes_after_outages(outage) for outage in OUTAGES))
+            return await asyncio.gather(*(probes_after_outages(outage) for outage in OUTAGES))
 
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            results = runner.run(test())
+        results = run(test, TEST_TIMEOUT)
         for outage, probes in zip(OUTAGES, results, strict=True):
             with self.subTest(outage):
                 self.check(probes)
--- a/tests/mesh/test_signals.py
+++ b/tests/mesh/test_signals.py
@@ -12,8 +12,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-import uvloop
-
+from mesh.cluster import run
 from mesh.processes import (
     CLIENT_TIMEOUT_S,
     ClientRequest,
@@ -45,15 +44,6 @@
 """Injects a fault into a mesh. It may set the event to end the load."""
 
 
-def run(test: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(TEST_TIMEOUT_S):
-            await test()
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(bounded())
-
-
 class FaultScenario:
     """Runs load on a mesh of processes and injects a fault during it."""
 
@@ -160,7 +150,7 @@
                 for scenario in scenarios:
                     group.create_task(scenario.run())
 
-        run(test)
+        run(test, TEST_TIMEOUT_S)
         for scenario in scenarios:
             with self.subTest(scenario.fault.__name__):
                 self.check_invariants(scenario)
@@ -248,7 +238,7 @@
                     self.assertEqual(process.popen.returncode, 0, process.role)
                     self.assertLess(loop.time() - terminated_at, mesh.grace, process.role)
 
-        run(test)
+        run(test, TEST_TIMEOUT_S)
 
 
 class FaultyEndpoint(RecordingEndpoint):
@@ -285,7 +275,7 @@
                 ):
                     await self.check_detected(mesh, invariant)
 
-        run(test)
+        run(test, TEST_TIMEOUT_S)
 
     async def check_detected(self, mesh: ProcessMesh, invariant: Invariant | None) -> None:
         for endpoint in mesh.endpoints:
--- a/tests/mesh/test_soak.py
+++ b/tests/mesh/test_soak.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 import unittest
-from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 
-import uvloop
-
 from mesh.cases import params
+from mesh.cluster import run
 from mesh.machines import Contact, Machine
 from mesh.processes import ClientRequest, Execution, Outcome, RouteClass
 from mesh.soak import Soak, run_soak
@@ -19,16 +16,6 @@
 from zinclever.mesh.model.distribution_days import APPLY_BOUND, CONTACT_PERIOD
 
 SIDECARS = 5
-TEST_TIMEOUT = 60.0
-
-
-def run(test: Callable[[], Awaitable[None]]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(TEST_TIMEOUT):
-            await test()
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(bounded())
 
 
 class ShortSoak(unittest.TestCase):
--- a/tests/mesh/test_storms.py
+++ b/tests/mesh/test_storms.py
@@ -6,7 +6,7 @@
 
 from zinclever.mesh.consensus import messages
 from zinclever.mesh.consensus.replica import Replica
-from zinclever.mesh.model.histories import Call, Told, is_linearizable
+from zinclever.mesh.model.histories import Call, CallOutcome, is_linearizable
 from zinclever.mesh.model.members import World
 from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry
 
@@ -102,7 +102,7 @@
 
     def test_no_acknowledged_change_is_lost_and_histories_are_linearizable(self) -> None:
         acked = 0
-        answers = dict.fromkeys(Told, 0)
+        answers = dict.fromkeys(CallOutcome, 0)
         for seed in range(25):
             with self.subTest(seed=seed):
                 world = self.run_schedule(seed)
@@ -111,7 +111,7 @@
                 self.assertTrue(is_linearizable(world.history))
                 acked += len(world.acked)
                 for call in world.history:
-                    answers[call.told] += call.kind == "put"
+                    answers[call.outcome] += call.kind == "put"
         self.assertGreater(acked, 200)
         self.assertGreater(min(answers.values()), 50, answers)
 
@@ -158,11 +158,13 @@
 class Histories(unittest.TestCase):
     """The linearizability checker."""
 
-    def put(self, began: float, ended: float, base: int, generation: int, outcome: Told = Told.DONE) -> Call:
+    def put(
+        self, began: float, ended: float, base: int, generation: int, outcome: CallOutcome = CallOutcome.DONE
+    ) -> Call:
         return Call(began, ended, "put", generation, base, outcome)
 
     def get(self, began: float, ended: float, generation: int) -> Call:
-        return Call(began, ended, "get", generation, 0, Told.DONE)
+        return Call(began, ended, "get", generation, 0, CallOutcome.DONE)
 
     def test_linearizable_and_other_histories(self) -> None:
         put, get = self.put, self.get
@@ -172,13 +174,25 @@
             ("a stale read", [put(0, 1, 0, 1), get(2, 3, 0)], False),
             ("reads that go back", [put(0, 9, 0, 1), get(1, 2, 1), get(3, 4, 0)], False),
             ("two changes applied on one base", [put(0, 1, 0, 1), put(0, 1, 0, 2)], False),
-            ("one of two changes applied", [put(0, 1, 0, 1), put(0, 1, 0, 2, Told.STALE)], True),
-            ("rejected without a cause", [put(0, 1, 0, 1, Told.STALE), get(2, 3, 0)], False),
+            ("one of two changes applied", [put(0, 1, 0, 1), put(0, 1, 0, 2, CallOutcome.STALE)], True),
+            ("rejected without a cause", [put(0, 1, 0, 1, CallOutcome.STALE), get(2, 3, 0)], False),
             ("a repeated change", [put(0, 1, 0, 1), put(2, 3, 1, 2), put(4, 5, 0, 1)], True),
-            ("unclear and applied later", [put(0, 1, 0, 1, Told.INDETERMINATE), get(2, 3, 0), get(4, 5, 1)], True),
-            ("unclear and never applied", [put(0, 1, 0, 1, Told.INDETERMINATE), put(2, 3, 0, 2), get(4, 5, 2)], True),
-            ("unclear, applied and undone", [put(0, 1, 0, 1, Told.INDETERMINATE), get(2, 3, 1), get(4, 5, 0)], False),
-            ("rejected but applied", [put(0, 1, 0, 1), put(2, 3, 0, 2, Told.STALE), get(4, 5, 2)], False),
+            (
+                "unclear and applied later",
+                [put(0, 1, 0, 1, CallOutcome.INDETERMINATE), get(2, 3, 0), get(4, 5, 1)],
+                True,
+            ),
+            (
+                "unclear and never applied",
+                [put(0, 1, 0, 1, CallOutcome.INDETERMINATE), put(2, 3, 0, 2), get(4, 5, 2)],
+                True,
+            ),
+            (
+                "unclear, applied and undone",
+                [put(0, 1, 0, 1, CallOutcome.INDETERMINATE), get(2, 3, 1), get(4, 5, 0)],
+                False,
+            ),
+            ("rejected but applied", [put(0, 1, 0, 1), put(2, 3, 0, 2, CallOutcome.STALE), get(4, 5, 2)], False),
             ("lost", [put(0, 1, 0, 1), put(2, 3, 0, 2)], False),
         ]
         for name, history, want in cases:
--- a/zinclever/mesh/model/explore.py
+++ b/zinclever/mesh/model/explore.py
@@ -19,7 +19,7 @@
 from ..consensus.replica import Replica
 from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
 from .explored_state import Budget, State
-from .histories import Call, Told, is_linearizable
+from .histories import Call, CallOutcome, is_linearizable
 from .members import decode_config, encode_config
 
 ELECTION_STEP = 0.9  # s of one time step; a member without contact to the leader then starts an election
@@ -28,6 +28,15 @@
 one whose generation is not above its base. Each may be requested repeatedly."""
 
 
+OUTCOMES = {
+    200: CallOutcome.DONE,
+    404: CallOutcome.DONE,
+    412: CallOutcome.STALE,
+    400: CallOutcome.GENERATION_TOO_LOW,
+}
+"""Outcomes of calls by the status of the reply; with any other status the outcome is open."""
+
+
 class Broken(AssertionError):
     """An invariant doesn't hold."""
 
@@ -294,11 +303,9 @@
 
     def record_reply(self, state: State, reply: Reply) -> None:
         """Enter the reply to a call in the history."""
-        told = {200: Told.DONE, 404: Told.DONE, 412: Told.STALE, 400: Told.GENERATION_TOO_LOW}.get(
-            reply.status, Told.INDETERMINATE
-        )
+        outcome = OUTCOMES.get(reply.status, CallOutcome.INDETERMINATE)
         state.event_count += 1
-        call = replace(state.history[reply.call_id], ended=state.event_count, told=told)
+        call = replace(state.history[reply.call_id], ended=state.event_count, outcome=outcome)
         if call.kind == "get" and reply.status == 200:
             call.generation, call.variant = decode_config(reply.text)
         state.history = (*state.history[: reply.call_id], call, *state.history[reply.call_id + 1 :])
@@ -359,7 +366,7 @@
     def check_durability(self, state: State) -> None:
         """Raise Broken if an acknowledged change is on too few disks to survive one lost disk in all."""
         for call in state.history:
-            if call.kind == "put" and call.told is Told.DONE:
+            if call.kind == "put" and call.outcome is CallOutcome.DONE:
                 copies = sum(d[1] is not None and d[1].generation >= call.generation for d in state.durable)
                 if copies < 2 - (state.disk_names != ["d0", "d1", "d2"]):
                     raise Broken(
--- a/zinclever/mesh/model/explore_voters.py
+++ b/zinclever/mesh/model/explore_voters.py
@@ -18,7 +18,7 @@
 from ..transport.mesh_pb2 import LogEntry, Voter
 from .explore import Broken, Explorer
 from .explored_state import Budget, State
-from .histories import Told
+from .histories import CallOutcome
 
 TOLERATED_LOSSES = 1  # disks that may be lost at once in the explored fault model
 STANDBY = 3  # index of the standby machine, which is not a founder
@@ -373,7 +373,7 @@
         Members that were granted leave may never come back, so that their disks don't count. No majority of the voters
         may lack an acknowledged change either, or it could elect a leader without it.
         """
-        acknowledged = [c.generation for c in state.history if c.kind == "put" and c.told is Told.DONE]
+        acknowledged = [c.generation for c in state.history if c.kind == "put" and c.outcome is CallOutcome.DONE]
         if not acknowledged or state.newest_committed is None:
             return
         holders = {
--- a/zinclever/mesh/model/histories.py
+++ b/zinclever/mesh/model/histories.py
@@ -17,7 +17,7 @@
 MAX_SEARCH_STATES = 2_000_000  # search states after which the check of a history is given up
 
 
-class Told(Enum):
+class CallOutcome(Enum):
     """How a call was answered."""
 
     DONE = "200"
@@ -39,7 +39,7 @@
     kind: str
     generation: int
     base: int = 0
-    told: Told = Told.INDETERMINATE
+    outcome: CallOutcome = CallOutcome.INDETERMINATE
     variant: int = 0
 
 
@@ -79,9 +79,9 @@
     Raises:
         SearchLimitExceeded: the history allows too many orders.
     """
-    calls = [c for c in history if c.kind == "put" or c.told is Told.DONE]
-    ends = [math.inf if c.told is Told.INDETERMINATE else c.ended for c in calls]
-    required = sum(1 << n for n, c in enumerate(calls) if c.told is not Told.INDETERMINATE)
+    calls = [c for c in history if c.kind == "put" or c.outcome is CallOutcome.DONE]
+    ends = [math.inf if c.outcome is CallOutcome.INDETERMINATE else c.ended for c in calls]
+    required = sum(1 << n for n, c in enumerate(calls) if c.outcome is not CallOutcome.INDETERMINATE)
     visited: set[SearchState] = set()
     stack = [SearchState(0, Version(initial_generation), frozenset())]
     while stack:
@@ -112,10 +112,10 @@
     change = ChangeId(call.base, version)
     current = state.version.generation
     if change in state.applied:  # a retry gets the same answer, or no clear one
-        return state if call.told is Told.DONE else None
-    if call.told is Told.STALE:
+        return state if call.outcome is CallOutcome.DONE else None
+    if call.outcome is CallOutcome.STALE:
         return state if call.base != current else None
-    if call.told is Told.GENERATION_TOO_LOW:
+    if call.outcome is CallOutcome.GENERATION_TOO_LOW:
         return state if call.base == current and call.generation <= current else None
     if call.base != current or call.generation <= current:
         return None  # a call without a clear answer need not take effect
--- a/zinclever/mesh/model/members.py
+++ b/zinclever/mesh/model/members.py
@@ -15,7 +15,7 @@
 from ..consensus.messages import Commit, Persist, Reply, Send, Vote
 from ..consensus.replica import Replica
 from ..transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
-from .histories import Call, Told
+from .histories import Call, CallOutcome
 
 
 @dataclass
@@ -324,9 +324,9 @@
         """Return whether the member at an address answers a read within 2 s."""
         call = self.get(ip)
         until = self.now + 2.0
-        while call is not None and call.told is Told.INDETERMINATE and call.ended > self.now < until:
+        while call is not None and call.outcome is CallOutcome.INDETERMINATE and call.ended > self.now < until:
             self.run(0.01)
-        return call is not None and call.told is Told.DONE
+        return call is not None and call.outcome is CallOutcome.DONE
 
     def record_reply(self, action: Reply) -> None:
         """Enter the reply to a call in the history, unless the reply is lost."""
@@ -338,14 +338,14 @@
         call.ended = self.now
         if call.kind == "get":
             if action.status in (200, 404):
-                call.told = Told.DONE
+                call.outcome = CallOutcome.DONE
                 call.generation, call.variant = decode_config(action.text) if action.status == 200 else (0, 0)
         elif action.status == 200:
-            call.told = Told.DONE
+            call.outcome = CallOutcome.DONE
             self.acked[call.generation] = encode_config(call.generation, call.variant)
             self.acknowledged_by_base.setdefault(call.base, set()).add(call.generation)
         elif action.status in (400, 412):
-            call.told = Told.STALE if action.status == 412 else Told.GENERATION_TOO_LOW
+            call.outcome = CallOutcome.STALE if action.status == 412 else CallOutcome.GENERATION_TOO_LOW
             self.refused.append((call.base, call.generation))
 
     # --- invariants ---
