Soak: allow for kills that are recorded after a client has seen them

A kill was recorded only once the task that had killed went on. Planned work is judged as before: there are no kills.

--- a/tests/mesh/test_soak.py
+++ b/tests/mesh/test_soak.py
@@ -11,7 +11,7 @@
 from mesh.machines import Contact, Machine
 from mesh.processes import ClientRequest, Execution, Outcome, RouteClass
 from mesh.soak import Soak, run_soak
-from mesh.soak_checks import MAX_UNANSWERED, LossCheck, VersionCheck
+from mesh.soak_checks import MAX_UNANSWERED, RECORDING_DELAY, LossCheck, VersionCheck
 from mesh.versioned_mesh import NO_ANSWER, Probe, VersionedMesh
 from zinclever.mesh.model.distribution_days import APPLY_BOUND, CONTACT_PERIOD
 
@@ -102,6 +102,10 @@
         self.assertEqual(self.lost(request(0.3), unplanned=10.0 - CONTACT_PERIOD), 0)
         self.assertEqual(self.lost(request(0.3), unplanned=9.9 - CONTACT_PERIOD), 1)
 
+    def test_kill_that_is_recorded_after_a_client_has_seen_it(self) -> None:
+        self.assertEqual(self.lost(request(0.3), unplanned=10.3 + RECORDING_DELAY / 2), 0)
+        self.assertEqual(self.lost(request(0.3), unplanned=10.3 + 2 * RECORDING_DELAY), 1)
+
 
 def machine(disturbed_at: float = -math.inf, is_frozen: bool = False) -> Machine:
     machine = Machine(SimpleNamespace(), "127.0.0.1", 1)  # type: ignore[arg-type]
