--- a/review/4/case.py
+++ b/review/4/case.py
@@ -35,7 +35,7 @@
 
 
 class UploadEndpoint(Endpoint):
-    """Begins to work on a request once its head and the first part of its body are in, and reads on meanwhile."""
+    """Works on a request once the first part of its body is in, answers, keeps the connection and reads on later."""
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one request at a time on a connection."""
@@ -55,11 +55,15 @@
                     sock = writer.get_extra_info("socket")
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                     break
-                while received < length:
-                    received += len(await reader.read(STEP))
                 head = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request}\r\nX-Server-Seal: 3e1b.07.5a2\r\n"
                 writer.write(f"{head}Content-Length: 2\r\n\r\nok".encode())
                 await writer.drain()
+                self.site.record.add(f"endpoint {self.id}: has answered {request}, and reads on")
+                while received < length:
+                    part = await reader.read(STEP)
+                    if not part:
+                        break
+                    received += len(part)
         writer.transport.abort()
 
 
