--- a/review/7/case.py
+++ b/review/7/case.py
@@ -77,11 +77,13 @@
             cut.append(request)
 
     async def terminate() -> None:
+        nonlocal terminated_at
         await asyncio.sleep(terminated_at - time.monotonic())
         if has_trouble():
-            site.record.add(f"{taker.name}: SIGTERM")
             taker.is_down = True
             taker.send(SIGTERM)
+            terminated_at = time.monotonic()
+            site.record.add(f"{taker.name}: SIGTERM")
 
     tasks = [site.spawn(terminate())]
     for number in range(int(LOAD_S / INTERVAL_S)):
