Storage: read records from the synced data, never by the unsynced index

Cause: OsFileSystem.sync covers the .dat file and the folder, not the index (.dir) of dbm.dumb, but read() believed an index that parses. One torn at the end of a line names some of the records: the seal is missing, and a marked save counts as lost (new disk ID), an unmarked one as interrupted (the previous vote or entry is used).

Fix: records are read by a scan of the data file alone; the index serves only files of format version 1. The scan skips what a record contains. DISK_SEAL and DISK_TORN say which copies were found, as a hidden and a damaged record could not be told apart in the log.

Ruled out: unsynced data (the .dat file was intact byte by byte); a mark written before its sync; an older generation reappearing by a lost removal (all names are played kept and lost).

--- a/tests/mesh/test_storage.py
+++ b/tests/mesh/test_storage.py
@@ -13,7 +13,7 @@
 from zinclever.mesh.consensus.messages import Persist, Vote
 from zinclever.mesh.consensus.replica_store import ReplicaStore
 from zinclever.mesh.storage.generation_file import SEAL, GenerationFile, OsFileSystem, seal_checksum
-from zinclever.mesh.storage.record_codec import StoredRecord, decode
+from zinclever.mesh.storage.record_codec import BLOCK_BYTES, StoredRecord, decode, encode_record, scan
 from zinclever.mesh.transport.mesh_pb2 import LogEntry
 
 
@@ -251,6 +251,15 @@
         self.assertTrue(reopened.has_lost_data)
         self.assertIsNone(reopened.records)
 
+    def test_record_within_a_record_is_not_read(self) -> None:
+        """Of a value that contains an encoded record at the beginning of a block, only the outer record is found."""
+        inner = encode_record(b"n", b"inner")
+        outer = StoredRecord(b"n", bytes(2 * BLOCK_BYTES - len(encode_record(b"n", b""))) + inner)
+        last = StoredRecord(b"m", b"next")
+        encoded = encode_record(*outer)
+        encoded += bytes(-len(encoded) % BLOCK_BYTES) + encode_record(*last)
+        self.assertEqual(scan(encoded), [outer, last])
+
     def test_format_of_version_1_is_read(self) -> None:
         records = {b"change": b"text"}
         with dbm.dumb.open(str(self.folder / "comb-000000000007"), "n") as database:
--- a/zinclever/mesh/storage/generation_file.py
+++ b/zinclever/mesh/storage/generation_file.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 from typing import NamedTuple, Protocol
 
-from .record_codec import COPIES, StoredRecord, count_copies, decode, encode, scan
+from .record_codec import COPIES, StoredRecord, count_copies, encode, scan
 
 log = logging.getLogger(__name__)
 
@@ -87,7 +87,7 @@
         path.with_suffix(".bak").unlink(missing_ok=True)
 
     def sync(self, path: Path) -> None:
-        """See :meth:`FileSystem.sync`. The index isn't synced, because records can be read without it."""
+        """See :meth:`FileSystem.sync`. The index isn't synced, because records are read without it."""
         fsync(path.with_suffix(".dat"))
         fsync(path.parent)
 
@@ -104,28 +104,27 @@
         return path.with_suffix(self.MARK_SUFFIX).name in os.listdir(path.parent)
 
     def read(self, path: Path) -> list[StoredRecord]:
-        """See :meth:`FileSystem.read`."""
+        """See :meth:`FileSystem.read`.
+
+        The records are read from the data alone. The index is never synced: after a power failure it may name any part
+        of the records, and look complete. Only files of format version 1 can't be read without it.
+        """
         try:
             data = path.with_suffix(".dat").read_bytes()
         except FileNotFoundError:
             return []
+        return scan(data) or self.read_version_1(path)
+
+    def read_version_1(self, path: Path) -> list[StoredRecord]:
+        """Read the records of format version 1, each stored once without a checksum; empty for other formats."""
         try:
-            return self.read_indexed(path) or scan(data)
+            with DatabaseWithoutChmod(path, "r") as database:
+                values = {key: database[key] for key in database.keys() if isinstance(key, bytes)}  # noqa: SIM118
         except INDEX_ERRORS:
-            return scan(data)
-
-    def read_indexed(self, path: Path) -> list[StoredRecord]:
-        """Read the records by the index; empty if any of them is damaged.
-
-        Raises:
-            OSError: There is no index. A damaged index raises any of :data:`INDEX_ERRORS`.
-        """
-        with DatabaseWithoutChmod(path, "r") as database:
-            values = {key: database[key] for key in database.keys() if isinstance(key, bytes)}  # noqa: SIM118
-        if SEAL in values:  # format of version 1: each record once, without its own checksum
-            return [StoredRecord(name, value) for name, value in values.items() for _ in range(COPIES)]
-        decoded = [decode(value) for value in values.values()]
-        return [record for record in decoded if record is not None] if None not in decoded else []
+            return []
+        if SEAL not in values:
+            return []
+        return [StoredRecord(name, value) for name, value in values.items() for _ in range(COPIES)]
 
     def remove(self, path: Path) -> None:
         """See :meth:`FileSystem.remove`."""
@@ -237,10 +236,10 @@
                     self.rewrite(path)
                 return generation.records
             if self.file_system.is_marked(path):
-                log.error("durable files are damaged", extra={"code": "DISK_SEAL", "pair": str(path)})
+                log.error("durable files are damaged", extra={"code": "DISK_SEAL", **self.describe(path)})
                 self.has_lost_data = True
                 return None
-            log.warning("a save was cut short", extra={"code": "DISK_TORN", "pair": str(path)})
+            log.warning("a save was cut short", extra={"code": "DISK_TORN", **self.describe(path)})
         return None
 
     def read(self, path: Path) -> Generation | None:
@@ -251,6 +250,14 @@
             log.warning("files can't be read", extra={"code": "DISK_UNREADABLE", "pair": str(path)})
             return None
 
+    def describe(self, path: Path) -> dict[str, object]:
+        """What is left of an unreadable generation, for the log: the number of undamaged copies by record."""
+        try:
+            counts = count_copies(self.file_system.read(path))
+        except OSError as error:
+            return {"pair": str(path), "error": str(error)}
+        return {"pair": str(path), "copies": {name.decode(): sum(values.values()) for name, values in counts.items()}}
+
     def rewrite(self, path: Path) -> None:
         """Save the records of a damaged generation again, as a new generation."""
         log.warning("repairing a damaged copy", extra={"code": "DISK_MENDED", "pair": str(path)})
--- a/zinclever/mesh/storage/record_codec.py
+++ b/zinclever/mesh/storage/record_codec.py
@@ -1,7 +1,7 @@
 """Encoding of records in a file. No I/O.
 
 Each record is stored twice, each copy with its own length and checksum. A damaged copy is repaired from the other one,
-partial writes are distinguished from later damage, and a file can be read without its index, the least reliable part of
+partial writes are distinguished from later damage, and a file is read without its index, the least reliable part of
 ``dbm.dumb``. See Protocol-Aware Recovery (Alagappan and others, 2018).
 """
 
@@ -67,9 +67,25 @@
 
 
 def scan(data: bytes) -> list[StoredRecord]:
-    """Find all undamaged records in the data of a file, without its index."""
-    decoded = (decode(data, offset) for offset in range(0, len(data), BLOCK_BYTES))
-    return [record for record in decoded if record is not None]
+    """Find all undamaged records in the data of a file, without its index.
+
+    What a record contains is skipped, even if it looks like another record.
+    """
+    records: list[StoredRecord] = []
+    offset = 0
+    while offset < len(data):
+        record = decode(data, offset)
+        if record is None:
+            offset += BLOCK_BYTES
+            continue
+        records.append(record)
+        offset = next_block(offset + HEADER_BYTES + len(record.name) + len(record.value))
+    return records
+
+
+def next_block(offset: int) -> int:
+    """The first offset from ``offset`` on at which a record may begin."""
+    return -(-offset // BLOCK_BYTES) * BLOCK_BYTES
 
 
 def count_copies(records: Iterable[tuple[bytes, bytes]]) -> dict[bytes, dict[bytes, int]]:
