Ingress: only an unfinished head proves that an endpoint executed nothing

Cause: a connection that broke before the last byte of the body was in the kernel counted as "dropped", which is taken as proof that nothing ran, and the ingress sent the request again. The same held for the last byte that is withheld on a quiet connection, with bodies of 1 byte.

Fix: connections to mesh endpoints are dialled with executes_early. They report unsent only until the head's last byte is passed to the kernel, and withhold that byte (and the body behind it) instead of the last one.

Test: endpoints that execute at the head, within and after the body, with small windows.

--- a/zinclever/http1/connection.py
+++ b/zinclever/http1/connection.py
@@ -108,7 +108,20 @@
     """The connection ended before a complete response."""
 
     unsent: bool
-    """The request's last byte was never written to the kernel, so that the request can't have been executed."""
+    """The server can't have executed the request, since it never got the byte with which it may begin: the last one, or
+    the last one of the head if it executes requests before their body is complete.
+    """
+
+
+Parts = list[bytes | memoryview]
+"""Consecutive parts of a request."""
+
+
+class Withheld(NamedTuple):
+    """The end of a request that is sent when the timer fires. The first byte is the one that is waited with."""
+
+    parts: Parts
+    timer: asyncio.TimerHandle
 
 
 OnResult = Callable[[Reply | Broken], None]
@@ -146,6 +159,8 @@
         max_buffered_body: int = MAX_BUFFERED_BODY,
         can_stream: bool = False,
         stall: float = STALL_TIMEOUT,
+        *,
+        executes_early: bool = False,
     ) -> None:
         """Create a connection.
 
@@ -156,8 +171,9 @@
             max_buffered_body: Maximum size in bytes of a response body that is buffered.
             can_stream: Whether a longer body is streamed; otherwise it counts as a broken response.
             stall: Maximum seconds between two reads of a buffered response.
+            executes_early: Whether the server may execute a request as soon as it has the head.
         """
-        self.stall_timeout = stall
+        self.stall_timeout, self.executes_early = stall, executes_early
         self.sock, self.on_free, self.on_lost, self.max_buffered_body = sock, on_free, on_lost, max_buffered_body
         self.max_body = MAX_STREAMED_BODY if can_stream else max_buffered_body
         self.stream: ResponseStream | None = None
@@ -168,9 +184,11 @@
         self.on_result: OnResult | None = None
         self.on_sent: OnSent | None = None
         self.stall_timer: asyncio.TimerHandle | None = None
-        self.withheld: tuple[bytes, asyncio.TimerHandle] | None = None
-        """The request's last byte, until it is sent."""
+        self.withheld: Withheld | None = None
+        """The end of the request, until it is sent."""
         self.unsent = self.lost = False
+        self.head_unsent = False
+        """The request's head was not passed to the kernel in full."""
         self.ends_at_close = False  # set here too, as a connection may end before its first request
         self.uploading = self.chunked = False
 
@@ -200,34 +218,43 @@
     ) -> None:
         """Write one request; ``on_result`` is called once, unless the exchange is aborted before.
 
-        If ``hold`` is set, the last byte is written that many seconds later, if the connection is still usable then.
+        If ``hold`` is set, the byte with which the server may begin to execute it is written that many seconds later,
+        if the connection is still usable then, and all that follows with it.
         """
         self.begin_exchange(on_result, on_sent)
-        is_copied = len(body) <= MAX_COPIED_BODY
-        data, rest = (head + body, b"") if is_copied else (head, memoryview(body))
+        parts: Parts = [head + body] if len(body) <= MAX_COPIED_BODY else [head, memoryview(body)]
+        holds_head = hold > 0.0 and (self.executes_early or not body)
         if hold > 0.0:
-            self.withhold((data if is_copied else body)[-1:], hold)
-            data, rest = (data[:-1], rest) if is_copied else (data, rest[:-1])
-        if self.write(data) and (is_copied or self.write(rest)):
-            self.resume_writing()
+            parts = self.withhold_end(head, body, hold)
+        self.write_parts(parts, completes_head=not holds_head)
 
     def begin_exchange(self, on_result: OnResult, on_sent: OnSent | None) -> None:
         """Reset the state of the previous exchange."""
         self.on_result, self.on_sent = on_result, on_sent
         self.received_bytes = 0  # limits a head that never ends, which the parser buffers
         self.response_begun = self.response_complete = self.keep_alive = self.is_large = self.ends_at_close = False
-        self.unsent = True
-
-    def withhold(self, last_byte: bytes, hold: float) -> None:
-        """Send the last byte of the request after ``hold`` seconds."""
+        self.unsent = self.head_unsent = True
+
+    def withhold_end(self, head: bytes, body: bytes, hold: float) -> Parts:
+        """Withhold the end of a request for ``hold`` seconds, and return what comes before it."""
+        if self.executes_early or not body:
+            self.withhold([head[-1:], memoryview(body)] if body else [head[-1:]], hold)
+            return [head[:-1]]
+        self.withhold([body[-1:]], hold)
+        if len(body) <= MAX_COPIED_BODY:
+            return [head + body[:-1]]
+        return [head, memoryview(body)[:-1]]
+
+    def withhold(self, parts: Parts, hold: float) -> None:
+        """Send the end of the request after ``hold`` seconds."""
         timer = asyncio.get_running_loop().call_later(hold, self.send_withheld)
-        self.withheld = last_byte, timer
+        self.withheld = Withheld(parts, timer)
 
     def begin_upload(self, head: bytes, on_result: OnResult, on_sent: OnSent | None, chunked: bool) -> None:
         """Write the head of a request. :meth:`upload` writes its body, and :meth:`end_upload` ends it."""
         self.begin_exchange(on_result, on_sent)
         self.uploading, self.chunked = True, chunked
-        self.write(head)
+        self.head_unsent = not self.write(head)
 
     def upload(self, data: bytes) -> None:
         """Write the next bytes of the body, at least one."""
@@ -245,15 +272,27 @@
         self.uploading = False
         data = b"1\r\n%b\r\n0\r\n\r\n" % last_byte if self.chunked else last_byte
         if hold > 0.0:
-            self.withhold(data[-1:], hold)
+            self.withhold([data[-1:]], hold)
             data = data[:-1]
         if not data or self.write(data):
             self.resume_writing()
 
     def has_unsent_bytes(self) -> bool:
-        """Return whether bytes of the request are yet to be passed to :meth:`write`: it can't have been executed."""
+        """Return whether bytes of the request are yet to be passed to :meth:`write`."""
         return self.uploading or self.withheld is not None
 
+    def broken(self) -> Broken:
+        """Return the result of an exchange that ends without a response."""
+        return Broken(self.head_unsent if self.executes_early else self.unsent)
+
+    def write_parts(self, parts: Parts, completes_head: bool) -> None:
+        """Write parts of the request. ``completes_head`` states whether the first one contains the end of the head."""
+        if not self.write(parts[0]):
+            return
+        self.head_unsent = not completes_head
+        if all(self.write(part) for part in parts[1:]):
+            self.resume_writing()
+
     def write(self, data: bytes | memoryview) -> bool:
         """Write bytes of the request to the kernel, and to the transport what the kernel doesn't accept.
 
@@ -271,20 +310,19 @@
         return True
 
     def send_withheld(self) -> None:
-        """Send the last byte, unless the connection has ended: without this byte, the request is never executed."""
+        """Send the end of the request, unless the connection has ended: without it, it is never executed."""
         if self.withheld is None:
             return
-        last_byte, timer = self.withheld
+        parts, timer = self.withheld
         if 1000.0 * (asyncio.get_running_loop().time() - timer.when()) > STALL_THRESHOLD_MS:
             # The process was stalled: the loop's next iteration shows whether the client is still waiting.
-            self.withhold(last_byte, SETTLE_TIME)
+            self.withhold(parts, SETTLE_TIME)
             return
         if not self.reusable():
             self.transport.abort()  # connection_lost notifies the owner
             return
         self.withheld = None
-        if self.write(last_byte):
-            self.resume_writing()
+        self.write_parts(parts, completes_head=True)
 
     def resume_writing(self) -> None:
         """Report the request as sent, once the kernel has accepted its last byte."""
@@ -403,7 +441,7 @@
         on_result, stream = self.on_result, self.stream
         self.abort()
         if on_result is not None:
-            on_result(Broken(self.unsent))
+            on_result(self.broken())
         elif stream is not None and stream.reader is not None:
             stream.reader.on_end(False)
 
@@ -429,7 +467,7 @@
     def cancel_timers(self) -> None:
         """Cancel the timers of the withheld byte and of stalls."""
         if self.withheld is not None:
-            self.withheld[1].cancel()
+            self.withheld.timer.cancel()
             self.withheld = None
         if self.stall_timer is not None:
             self.stall_timer.cancel()
@@ -449,9 +487,7 @@
         stream, self.stream = self.stream, None
         is_complete = exc is None and self.ends_at_close and not self.unsent
         if on_result is not None:
-            on_result(
-                Reply(self.status, self.headers, b"".join(self.body_parts)) if is_complete else Broken(self.unsent)
-            )
+            on_result(Reply(self.status, self.headers, b"".join(self.body_parts)) if is_complete else self.broken())
         elif stream is not None and stream.reader is not None:
             stream.reader.on_end(is_complete)
 
@@ -525,6 +561,8 @@
     max_buffered_body: int = MAX_BUFFERED_BODY,
     can_stream: bool = False,
     stall: float = STALL_TIMEOUT,
+    *,
+    executes_early: bool = False,
 ) -> ClientConnection:
     """Open a connection within ``timeout`` seconds. The other arguments are those of ClientConnection.
 
@@ -538,7 +576,10 @@
         async with asyncio.timeout(timeout):
             await loop.sock_connect(sock, address)
         _, connection = await loop.create_connection(
-            lambda: ClientConnection(sock, on_free, on_lost, max_buffered_body, can_stream, stall), sock=sock
+            lambda: ClientConnection(
+                sock, on_free, on_lost, max_buffered_body, can_stream, stall, executes_early=executes_early
+            ),
+            sock=sock,
         )
     except BaseException:
         sock.close()
--- a/zinclever/mesh/dataplane/ingress.py
+++ b/zinclever/mesh/dataplane/ingress.py
@@ -28,8 +28,8 @@
 CONNECT_TIMEOUT_MS = 400.0
 IDLE_TIMEOUT_MS = 9000.0  # for which an endpoint is assumed to keep an idle connection open
 QUIET_PERIOD = 0.1  # s of silence after which the endpoint may have dropped a connection without closing it
-LAST_BYTE_DELAY = 0.002  # s for which the last byte is then held back: a request that is reset within it hasn't run
-MAX_RECONNECTS = 2  # repeated sends after a connection broke before the request was complete
+LAST_HEAD_BYTE_DELAY = 0.002  # s for which the head is then held back: a request that is reset within it hasn't run
+MAX_RECONNECTS = 2  # repeated sends after a connection broke before the request's head was complete
 ENDPOINT_HEADERS = b"X-Expected-Endpoint: %b\r\nX-Deadline-Ms: %d\r\n"
 
 OnReply = Callable[[ForwardReply], None]
@@ -57,7 +57,7 @@
             return
         self.head += ENDPOINT_HEADERS % (self.endpoint, max(1, int(1000 * time_left)))
         is_quiet = bool(connection.heard_at) and now - connection.heard_at > QUIET_PERIOD
-        self.hold = LAST_BYTE_DELAY if is_quiet else 0.0
+        self.hold = LAST_HEAD_BYTE_DELAY if is_quiet else 0.0
         super().run(connection)
 
     def done(self, result: Reply | Broken) -> None:
@@ -100,7 +100,7 @@
         """Set while the request is at the endpoint."""
         self.timer: asyncio.TimerHandle | None = None
         self.reconnects = 0
-        """Connections that broke before the endpoint had received the complete request."""
+        """Connections that broke before the endpoint had received the request's head, with which it may begin."""
 
     @property
     def expires_at(self) -> float:
@@ -123,7 +123,8 @@
     def __init__(self, host: Host, descriptors: Descriptors) -> None:
         self.loop = asyncio.get_running_loop()
         self.pools: ExclusivePools[ClientConnection] = ExclusivePools(
-            partial(dial, host, max_buffered_body=MAX_ANSWER_BYTES, stall=READ_TIMEOUT), descriptors
+            partial(dial, host, max_buffered_body=MAX_ANSWER_BYTES, stall=READ_TIMEOUT, executes_early=True),
+            descriptors,
         )
         connections = ConnectionLimiter(host.random())
         connections.configure(interface.Shares(), 1, 0, 0)
@@ -293,7 +294,7 @@
             outcome=AttemptOutcome.NOT_EXECUTED if proves_not_executed else AttemptOutcome.UNKNOWN,
             reason=outcome,
             sent_to_endpoint=not proves_not_executed
-            or outcome == "dropped",  # part of a request that was dropped has arrived
+            or outcome == "dropped",  # part of the head of a request that was dropped has arrived
         )
 
     def reply_with_answer(self, reply: Reply, service_time: float) -> ForwardReply:
