Sidecar: after SIGTERM take only requests that can be completed or may be cut off

Cause: new requests were refused from 2 s before the exit on, whatever their deadline: 3.4 s after SIGTERM with GraceS 6, 7.4 s with 10.

Fix: ShutdownAdmission decides by the deadline. Any request for 2.7 s, then those that end before the exit, none in the last 2 s; forwarded ones must end before the exit from the signal on, as they can go elsewhere. The exit comes an eighth of a short grace period before its end (with GraceS below 3.6 it came before the last sixth). Control nodes and endpoint calls: calls that were read are answered, with 503 at the latest; queued connections are accepted, as in sidecars.

Ruled out: the endpoint's silence or a lost link (the sidecar answers 502 itself as it closes its channels at the exit).

--- a/tests/mesh/cluster.py
+++ b/tests/mesh/cluster.py
@@ -61,6 +61,8 @@
 class StubEndpoint:
     """A scripted HTTP endpoint in front of which a sidecar runs."""
 
+    slots = 4
+
     def __init__(self, address: str, service: str, responder: Responder = ok_response) -> None:
         self.address, self.service, self.responder = address, service, responder
         self.id = f"i-{address}"
@@ -110,7 +112,7 @@
         return json.dumps(
             {
                 "Address": self.address,
-                "Descriptor": {"Target": self.service, "Generation": "v1", "Zone": "z", "Capacity": 4},
+                "Descriptor": {"Target": self.service, "Generation": "v1", "Zone": "z", "Capacity": self.slots},
                 "Observed": {"Phase": phase, "CallSeq": self.seq, "ColdLeftS": 0},
             }
         ).encode()
@@ -174,8 +176,8 @@
         for app in self.stub_endpoints:
             await app.stop()
         self.control.node.stop()
-        if self.control.server is not None:
-            self.control.server.close()
+        if self.control.listener is not None:
+            self.control.listener.server.close()
         self.control.store.close()
         self.control.store.thread.shutdown(wait=True)  # a save to the folder may be in progress
         self.folder.cleanup()
--- a/tests/mesh/processes.py
+++ b/tests/mesh/processes.py
@@ -27,7 +27,8 @@
 MAX_ATTEMPTS = 2  # of the routes of cluster.config
 SERVICE_TIME_S = 0.01  # of a request at an endpoint
 DEADLINE_S = 2.0  # of each request; longer than the silence after which a link is aborted (1 s)
-CLIENT_TIMEOUT_S = 2.2
+CLIENT_TIMEOUT_SLACK_S = 0.2  # after its deadline, for which a client waits
+CLIENT_TIMEOUT_S = DEADLINE_S + CLIENT_TIMEOUT_SLACK_S
 RETRY_DELAY_S = 0.02  # of a client after a request that was not answered
 GRACE_S = 3.2  # shutdown grace period after SIGTERM
 READINESS_PROBE_INTERVAL_S = 1.0  # between two readiness probes of the platform
@@ -206,6 +207,8 @@
             while True:
                 start, headers, body = await read_message(reader)
                 response = await self.handle(headers["x-attempt-id"], start.split()[1], body)
+                if writer.is_closing():  # the request was cancelled
+                    break
                 writer.write(response)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
@@ -235,6 +238,7 @@
     def __init__(self, host: str, port: int, persistent: bool) -> None:
         self.host, self.port, self.persistent = host, port, persistent
         self.number = next(self._numbers)
+        self.deadline = DEADLINE_S
         self.requests: list[ClientRequest] = []
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
@@ -251,7 +255,7 @@
         request = ClientRequest(f"c{self.number}-{len(self.requests)}", route_class)
         self.requests.append(request)
         try:
-            async with asyncio.timeout(CLIENT_TIMEOUT_S):
+            async with asyncio.timeout(self.deadline + CLIENT_TIMEOUT_SLACK_S):
                 await self.exchange(request)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             self.close()
@@ -264,10 +268,11 @@
         if self.reader is None or self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(self.host, self.port)
         request.outcome = Outcome.UNKNOWN
+        deadline_ms = int(self.deadline * 1000)
         self.writer.write(
             f"POST /{SERVICE}/{request.route_class.value}/ HTTP/1.1\r\n"
             f"Host: a.example\r\nX-Attempt-Id: {request.id}\r\n"
-            f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\nContent-Length: {len(request.request_body)}\r\n\r\n".encode()
+            f"X-Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(request.request_body)}\r\n\r\n".encode()
             + request.request_body
         )
         request.sent_at = asyncio.get_running_loop().time()
--- a/tests/mesh/test_listening.py
+++ b/tests/mesh/test_listening.py
@@ -7,6 +7,8 @@
 import unittest
 
 from mesh.cluster import Mesh, read_message, run
+from zinclever.http1.heads import HttpResponse
+from zinclever.mesh.control_api.listener import Call
 
 CLIENTS = 3
 REQUEST = b"GET /one/safe/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: r%d\r\nX-Deadline-Ms: 2000\r\n\r\n"
@@ -56,6 +58,32 @@
 
         run(test)
 
+    # Guards against calls that a control node has read, and closes without an answer at its exit (#74).
+    def test_calls_of_a_terminating_control_node_are_answered(self) -> None:
+        async def never(call: Call) -> HttpResponse:
+            await asyncio.Event().wait()
+            raise AssertionError
+
+        async def test() -> None:
+            async with Mesh(["one"]) as mesh:
+                await mesh.bring_up()
+                assert mesh.control.control_api is not None and mesh.control.listener is not None
+                mesh.control.control_api.router.add("GET /never", never)
+                address = f"{mesh.control_ip}:{mesh.port + 2}"
+                open_call = asyncio.ensure_future(mesh.call(address, "GET", "/never"))
+                late_caller = socket.create_connection((mesh.control_ip, mesh.port + 2))
+                while not mesh.control.control_api.tasks:
+                    await asyncio.sleep(POLL_INTERVAL)
+                stop = asyncio.ensure_future(mesh.control.stop(GRACE))
+                while mesh.control.listener.server.is_serving():
+                    await asyncio.sleep(POLL_INTERVAL)
+                late_caller.sendall(b"GET /v1/config/read HTTP/1.1\r\nHost: a\r\n\r\n")
+                self.assertEqual(await read_status(late_caller), "503")
+                self.assertEqual((await open_call)[0], 503)
+                await stop
+
+        run(test)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/mesh/test_operator_calls.py
+++ b/tests/mesh/test_operator_calls.py
@@ -40,8 +40,8 @@
         for control_node in self.nodes:
             control_node.run_tick = lambda: None  # type: ignore[method-assign]
             control_node.node.stop()
-            if control_node.server is not None:
-                control_node.server.close()
+            if control_node.listener is not None:
+                control_node.listener.server.close()
         await asyncio.sleep(0.1)  # waits for the last saves
         for control_node in self.nodes:
             control_node.store.close()
--- a/zinclever/mesh/control_api/listener.py
+++ b/zinclever/mesh/control_api/listener.py
@@ -22,6 +22,8 @@
 
 log = logging.getLogger(__name__)
 
+COMPLETION_POLL_INTERVAL = 0.01  # s between two checks at the exit whether the open calls are completed
+
 
 class Call(NamedTuple):
     """An HTTP call."""
@@ -63,6 +65,8 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         """By call number: the calls whose handlers are still running."""
         self.reply_counts = ReplyCounts()
+        self.is_refusing = False
+        """This process is about to exit: new calls are answered with 503, so that callers go on to another process."""
 
     def read(self, method: str, target: str, headers: Headers, body: bytes | Body, waited: float) -> IncomingRequest:
         """Find the handler of a call. Raises Rejected with 404 or 405 if there is none."""
@@ -80,6 +84,9 @@
     def take(self, incoming: IncomingRequest, on_answer: Callable[[FinalAnswer | HttpResponse], None]) -> None:
         """Handle a call, immediately or in a task."""
         handler, call = incoming.payload
+        if self.is_refusing:
+            on_answer(shutdown_answer())
+            return
         try:
             result = handler(call)
         except Exception as error:
@@ -96,11 +103,29 @@
         """Answer a call once its handler has completed."""
         try:
             on_answer(await result)
+        except asyncio.CancelledError:  # by complete_calls
+            on_answer(shutdown_answer())
         except Exception as error:
             on_answer(failure_answer(error))
         finally:
             self.tasks.pop(call_number, None)
 
+    async def complete_calls(self, deadline: float) -> None:
+        """Refuse new calls, and complete the open ones until the instant ``deadline``; then answer them with 503."""
+        self.is_refusing = True
+        while self.tasks and self.loop.time() < deadline:
+            await asyncio.sleep(COMPLETION_POLL_INTERVAL)
+        open_calls = list(self.tasks.values())
+        for task in open_calls:
+            task.cancel()
+        await asyncio.gather(*open_calls, return_exceptions=True)
+
+    async def refuse_last_calls(self, timeout: float) -> None:
+        """Wait up to ``timeout`` s until the connected callers have sent their last call and read its refusal."""
+        deadline = self.loop.time() + timeout
+        while self.count() and self.loop.time() < deadline:
+            await asyncio.sleep(COMPLETION_POLL_INTERVAL)
+
     def on_client_disconnected(self, request_id: str) -> None:
         """Do nothing when the caller has disconnected: the call is still completed."""
 
@@ -113,6 +138,11 @@
         return self.host.unread(sock)
 
 
+def shutdown_answer() -> HttpResponse:
+    """Return 503, which leaves the outcome of the call open: this process exits."""
+    return error_answer(503, MeshError("SHUTTING_DOWN", "this process exits"))
+
+
 def failure_answer(error: Exception) -> HttpResponse:
     """Return 400 for an invalid call; other exceptions are internal errors, logged and answered with 500."""
     if isinstance(error, MeshError):
--- a/zinclever/mesh/dataplane/egress.py
+++ b/zinclever/mesh/dataplane/egress.py
@@ -22,6 +22,7 @@
 from .outbound_request import OutboundRequest
 from .retry_detector import RetryDetector
 from .service_clients import ServiceClients
+from .shutdown_admission import ShutdownAdmission
 
 HOP_HEADERS = NON_FORWARDED_HEADERS | {b"x-deadline-ms", b"x-expected-endpoint", b"x-caller-service"}
 RESPONSE_HOP_HEADERS = NON_FORWARDED_HEADERS
@@ -34,7 +35,7 @@
 MIN_RETRY_AFTER = 0.02  # s; lower limit of Retry-After
 MAX_REQUEST_ID_LENGTH = 256
 BODILESS_METHODS = ("GET", "HEAD")
-NO_CONFIGURATION = HttpResponse(503, b"Retry-After: 0.2\r\n")
+NO_CONFIGURATION = SHUTTING_DOWN = HttpResponse(503, b"Retry-After: 0.2\r\n")
 
 
 class RequestHeaders(NamedTuple):
@@ -75,8 +76,8 @@
         self.is_running = is_running
         self.is_running_retry = is_running_retry
         self.requires_complete_body = True
-        self.is_refusing = False
-        """This process is shutting down: new requests are refused, as they would be cut off."""
+        self.shutdown: ShutdownAdmission | None = None
+        """Set while this process shuts down: requests that would be cut off are refused."""
         self.last_number = 0
         self.open_requests: dict[str, OutboundRequest] = {}
         """By request number."""
@@ -109,7 +110,7 @@
         self.last_number += 1
         number = str(self.last_number)
         configuration = self.active.configuration
-        if configuration is None or self.is_refusing:
+        if configuration is None:
             return already_answered(number, NO_CONFIGURATION)
         host = request_headers.host.decode("latin-1").lower().partition(":")[0]
         route = configuration.find_route(host, target.partition("?")[0])
@@ -124,6 +125,8 @@
             client_wait = min(MAX_CLIENT_WAIT, float(request_headers.timeout_ms) / 1000.0)
             time_used = self.retry_detector.time_used(now, route.name, client_wait)
         time_left = max(MIN_WAIT, min(client_wait, route.deadline) - waited / 1000.0)
+        if self.shutdown is not None and not self.shutdown.admits(now, time_left):
+            return already_answered(number, SHUTTING_DOWN)
         service = self.choose_service(route)
         end_to_end_headers = end_to_end(headers, HOP_HEADERS)
         head = b"%b %b HTTP/1.1\r\n%b%b" % (
--- a/zinclever/mesh/roles/control.py
+++ b/zinclever/mesh/roles/control.py
@@ -12,11 +12,13 @@
 from ..consensus.replica_store import ReplicaStore
 from ..control_api.listener import ControlApi, Handler
 from ..control_api.router import Router
+from ..dataplane.shutdown_admission import exit_margin
 from ..errors import MeshError
 from ..membership.records import CONTROL, RecordKind
 from ..transport.framed_connection import FramedConnection
 from ..transport.mesh_pb2 import Frame, Record, Voter
 from .endpoint_api import ControlEndpointApi, EndpointAnnouncer
+from .listening import Listener, listen
 from .node import Node
 from .node_settings import NodeSettings
 from .operator_calls import READ_PATH, REPLACE_PATH, OperatorCalls
@@ -26,9 +28,9 @@
 log = logging.getLogger(__name__)
 
 TICK_INTERVAL = 0.05  # s between two ticks of the replica
-LISTEN_BACKLOG = 1024
 LEAVE_GRACE_SHARE = 0.8  # of the grace period; then this process exits even if others depend on its replica
 POLL_INTERVAL = 0.02  # s between two checks whether this process may exit
+LAST_CALLS_PERIOD = 0.2  # s at the exit in which callers that have connected before send their call
 LAST_FRAMES_DELAY = 0.05  # s for the last frames to be sent
 STATUS_PREFIXES = ("/v1/mesh", "/v1/hive")  # the second one was used by version 0.1
 
@@ -61,7 +63,7 @@
         self.operator_calls = OperatorCalls(self.node, self.replica, self.run_actions)
         self.status_api = StatusApi(self.node, self.replica, self.store, self.replica_transport)
         self.control_api: ControlApi | None = None
-        self.server: asyncio.Server | None = None
+        self.listener: Listener | None = None
         self.is_running_actions = False
         self.node.frame_handlers.update(consensus=self.on_consensus, control_call=self.operator_calls.on_control_call)
         self.node.record_listeners.append(self.on_record)
@@ -71,9 +73,7 @@
         self.control_api = ControlApi(self.node.descriptors, self.node.host, self.make_router())
         await self.node.start()
         if "ControlPlane" in self.settings.bind:
-            self.server = await self.loop.create_server(
-                self.control_api.connection, *self.settings.bind["ControlPlane"], backlog=LISTEN_BACKLOG
-            )
+            self.listener = await listen(self.control_api, self.settings.bind["ControlPlane"])
         self.run_tick()
         self.store.verify()
 
@@ -101,16 +101,21 @@
     # --- shutdown ---
 
     async def stop(self, grace: float) -> None:
-        """Answer open calls, wait until this replica's state is stored elsewhere, and leave, within ``grace`` s."""
+        """Answer open calls, wait until this replica's state is stored elsewhere, and leave, within ``grace`` s.
+
+        Every call that was read is answered, if only with 503.
+        """
         if self.control_api is not None:
             self.control_api.begin_drain()
         started_at = self.loop.time()
         while self.operator_calls.unanswered and self.loop.time() - started_at < grace / 2:
             await asyncio.sleep(POLL_INTERVAL)
         await self.leave(started_at + LEAVE_GRACE_SHARE * grace)
-        if self.server is not None:
-            self.server.close()
+        if self.listener is not None:
+            await self.listener.close()
         if self.control_api is not None:
+            await self.control_api.complete_calls(started_at + grace - exit_margin(grace))
+            await self.control_api.refuse_last_calls(min(LAST_CALLS_PERIOD, exit_margin(grace) / 2))
             self.control_api.close_idle()
             self.control_api.stop()
         await asyncio.sleep(LAST_FRAMES_DELAY)
--- a/zinclever/mesh/roles/forward_server.py
+++ b/zinclever/mesh/roles/forward_server.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 
 from ..attempt_outcome import AttemptOutcome
 from ..dataplane.forwarding import CHUNK_BYTES
 from ..dataplane.ingress import InboundRequest, Ingress
+from ..dataplane.shutdown_admission import ShutdownAdmission
 from ..transport.framed_connection import FramedConnection
 from ..transport.mesh_pb2 import BodyChunk, ForwardReply, ForwardRequest, Frame
 
@@ -46,17 +46,17 @@
 class ForwardServer:
     """Owns the open forwarded requests."""
 
-    def __init__(self, ingress: Ingress, memory: int, is_refusing: Callable[[], bool]) -> None:
+    def __init__(self, ingress: Ingress, memory: int) -> None:
         """Create a server.
 
         Args:
             ingress: The ingress that requests are submitted to.
             memory: Memory of this machine in bytes.
-            is_refusing: Whether new requests are refused because this process is shutting down.
         """
         self.ingress = ingress
         self.memory = memory
-        self.is_refusing = is_refusing
+        self.shutdown: ShutdownAdmission | None = None
+        """Set while this process shuts down: requests that may outlast it are rejected, so that they go elsewhere."""
         self.loop = asyncio.get_running_loop()
         self.open: dict[StreamKey, InboundForward] = {}
 
@@ -72,7 +72,8 @@
         if forward.length > MAX_BODY_BYTES:
             connection.abort()
             return
-        if self.is_refusing():
+        time_left = forward.deadline_ms / 1000.0
+        if self.shutdown is not None and not self.shutdown.can_complete(inbound.received_at, time_left):
             shutdown_reply = ForwardReply(outcome=AttemptOutcome.NOT_EXECUTED, reason="ending")
             connection.send(Frame(stream=frame.stream, forward_reply=shutdown_reply))
             return
--- a/zinclever/mesh/roles/sidecar.py
+++ b/zinclever/mesh/roles/sidecar.py
@@ -20,6 +20,7 @@
 from ..dataplane.ingress import Ingress
 from ..dataplane.retry_budget import RetryBudget
 from ..dataplane.service_clients import ServiceClient, ServiceClients
+from ..dataplane.shutdown_admission import ShutdownAdmission, exit_margin
 from ..membership.records import SIDECAR, EndpointPhase, MemberState, RecordKind
 from ..transport.framed_connection import FramedConnection
 from ..transport.mesh_pb2 import ControlReply, EndpointInfo, Frame, Record
@@ -33,8 +34,6 @@
 
 COUNTERS_INTERVAL = 10.0  # s between two log lines of counters
 MIN_DRAIN_PERIOD = 2.4  # s after SIGTERM; clients connect until two readiness checks, 1 s apart, have failed
-REFUSAL_PERIOD = 2.0  # s before the exit in which new requests are refused and open ones are completed
-GRACE_MARGIN = 0.6  # s before the end of the grace period at which the process exits, even with open requests
 LAST_REQUESTS_POLL_INTERVAL = 0.01  # s
 POLL_INTERVAL = 0.05  # s between two checks whether this process may exit
 LAST_REQUESTS_PERIOD = 0.2  # s at the exit in which clients that have connected before send their request
@@ -42,14 +41,6 @@
 DEFAULT_RETRY_WINDOW = 10.0  # s
 
 
-def refusal_delay(grace: float) -> float:
-    """Return the time in s after SIGTERM from which new requests are refused if clients still send them.
-
-    Open requests may be completed until the process exits.
-    """
-    return max(grace / 2, grace - GRACE_MARGIN - REFUSAL_PERIOD)
-
-
 class Sidecar:
     """Owns the node, the three listeners, the egress and the ingress."""
 
@@ -70,9 +61,10 @@
             self.ingress.is_running,
             self.ingress.is_running_retry,
         )
-        self.forward_server = ForwardServer(self.ingress, self.memory, lambda: self.egress.is_refusing)
+        self.forward_server = ForwardServer(self.ingress, self.memory)
         self.handlers: list[tuple[RequestHandler, str]] = [(self.egress, "Egress")]
         """Each with the purpose of the address that it listens on."""
+        self.control_apis: list[ControlApi] = []
         self.listeners: list[Listener] = []
         self.is_stopping = False
         self.logged_readiness = False
@@ -98,7 +90,8 @@
         calls.add("POST /v1/endpoints/{id}/departure", self.local_endpoint.on_departure)
         calls.add("GET /v1/ready", self.on_ready)
         for purpose, router in (("Readiness", readiness), ("ControlPlane", calls)):
-            self.handlers.append((ControlApi(self.node.descriptors, self.host, router), purpose))
+            self.control_apis.append(ControlApi(self.node.descriptors, self.host, router))
+            self.handlers.append((self.control_apis[-1], purpose))
         await self.node.start()
         for handler, purpose in self.handlers:
             if purpose in self.settings.bind:
@@ -146,29 +139,28 @@
         """
         started_at = self.loop.time()
         self.is_stopping = True
+        shutdown = self.egress.shutdown = self.forward_server.shutdown = ShutdownAdmission(started_at, grace)
         self.node.gossip.leave(started_at)
         self.node.gossip_socket.flush()
         for handler, _ in self.handlers:
             handler.begin_drain()
-        while self.loop.time() - started_at < grace - GRACE_MARGIN:
-            await asyncio.sleep(POLL_INTERVAL)
-            elapsed = self.loop.time() - started_at
-            if elapsed > refusal_delay(grace):
-                self.egress.is_refusing = True
-            if self.is_idle() and elapsed > MIN_DRAIN_PERIOD:
+        while (now := self.loop.time()) < shutdown.exits_at:
+            if self.is_idle() and now > started_at + MIN_DRAIN_PERIOD:
                 break
-        self.egress.is_refusing = True
+            await asyncio.sleep(POLL_INTERVAL)
+        shutdown.refuse_all(self.loop.time())
         for listener in self.listeners:
             await listener.close()
-        await self.refuse_last_requests()
+        await asyncio.gather(*(api.complete_calls(shutdown.exits_at) for api in self.control_apis))
+        await self.refuse_last_requests(min(LAST_REQUESTS_PERIOD, exit_margin(grace) / 2))
         self.egress.close_idle()
         for handler, _ in self.handlers:
             handler.stop()
         self.node.stop()
 
-    async def refuse_last_requests(self) -> None:
-        """Wait until the clients that are connected have sent their last request and read its refusal."""
-        deadline = self.loop.time() + LAST_REQUESTS_PERIOD
+    async def refuse_last_requests(self, timeout: float) -> None:
+        """Wait up to ``timeout`` s until the connected clients have sent their last request and read its refusal."""
+        deadline = self.loop.time() + timeout
         while self.egress.count() and self.loop.time() < deadline:
             await asyncio.sleep(LAST_REQUESTS_POLL_INTERVAL)
 
