Gossip: only the probed node's answer proves that it is alive

Callers would have seen requests turned away by endpoints of a machine that is gone, whose address another one has got.

Cause: FailureDetector.on_ack took an answer by its number alone; the node that has the address now answered, and its predecessor was never declared dead.

--- a/tests/mesh/test_gossip.py
+++ b/tests/mesh/test_gossip.py
@@ -225,6 +225,15 @@
         sim.run(8.0)
         self.assertEqual({node.members.state_of("b9") for node in sim.gossips.values()}, {MemberState.DEAD})
 
+    def test_a_node_whose_address_another_one_has_got_is_declared_dead(self) -> None:
+        """Guards against endpoints that stay listed, as the new node at their address answers the probes."""
+        sim = joined_simulation(15)
+        del sim.gossips["b9"]
+        sim.reused_addresses["b99"] = sim.address("b9")
+        sim.add("b99")
+        sim.run(10.0)
+        self.assertEqual({node.members.state_of("b9") for node in sim.gossips.values()}, {MemberState.DEAD})
+
     def test_a_declaration_names_its_author_and_reason(self) -> None:
         sim = joined_simulation(15)
         del sim.gossips["b9"]
--- a/zinclever/mesh/membership/failure_detector.py
+++ b/zinclever/mesh/membership/failure_detector.py
@@ -153,11 +153,15 @@
                 self.relayed_probes.pop(next(iter(self.relayed_probes)))
             self.transmitter.send(message.target, GossipMessage(ping=relayed_id))
 
-    def on_ack(self, now: float, name: str, ping_id: int) -> None:
-        """Handle the answer to a ping, which comes from its target or from a relay that the target has answered."""
-        relayed = self.relayed_probes.pop(ping_id, None)
+    def on_ack(self, now: float, name: str, message: GossipMessage) -> None:
+        """Handle the answer to a ping, which comes from its target or from a relay that names the node that answered.
+
+        Another node answers if it has got the target's address: that proves nothing about the target.
+        """
+        relayed = self.relayed_probes.pop(message.ack, None)
         if relayed is not None:
             self.transmitter.send(relayed.requester, GossipMessage(ack=relayed.probe_id, target=name))
-        probe = self.probes.pop(ping_id, None)
-        if probe is not None and probe.target != name:
+        probe = self.probes.get(message.ack)
+        if probe is not None and probe.target == (message.target or name):
+            del self.probes[message.ack]
             self.last_contact[probe.target] = now
--- a/zinclever/mesh/membership/gossip.py
+++ b/zinclever/mesh/membership/gossip.py
@@ -180,7 +180,7 @@
         if message.ping:
             self.failure_detector.on_ping(name, message)
         if message.ack:
-            self.failure_detector.on_ack(now, name, message.ack)
+            self.failure_detector.on_ack(now, name, message)
         self.correct_sender(name, message.incarnation)
         if message.root_digest:
             self.anti_entropy.on_root_digest(name, source, message.root_digest)
--- a/zinclever/mesh/model/field.py
+++ b/zinclever/mesh/model/field.py
@@ -30,6 +30,8 @@
         """By name of a frozen node: the datagrams that its kernel buffers, with their senders."""
         self.event_queue: list[tuple[float, int, str, bytes, Address]] = []
         """Heap of instant, sequence number, target, datagram (empty for a tick) and sender."""
+        self.reused_addresses: dict[str, Address] = {}
+        """By name of a node: its address, which belonged to another node before."""
         self.sequence = itertools.count()
         self.bytes = self.datagrams = self.longest = 0
         """Bytes and datagrams sent, and the size of the largest datagram."""
@@ -42,6 +44,8 @@
 
     def address(self, name: str) -> Address:
         """Return the address of a node."""
+        if name in self.reused_addresses:
+            return self.reused_addresses[name]
         return f"10.0.{int(name[1:]) // 250}.{int(name[1:]) % 250}", 7
 
     def add(self, name: str, life: int = 1) -> None:
