Configuration: priorities below 0, and authorities with a port

Callers would have seen 503 after the whole deadline for requests of a route with a Priority below 0 that go to another machine (it can't be encoded), and 404 for a route whose Authority has a port (it was cut off Host only).

Fix: a priority below 0 counts as 0, the highest; the lookup tries the host with its port first, then without.

--- a/tests/mesh/test_configuration.py
+++ b/tests/mesh/test_configuration.py
@@ -14,6 +14,7 @@
 from zinclever.mesh.control_api.router import Router
 from zinclever.mesh.errors import MeshError
 from zinclever.mesh.roles import node_settings
+from zinclever.mesh.transport.mesh_pb2 import ForwardRequest
 
 CONFIG: dict[str, Any] = {
     "Generation": 7,
@@ -69,6 +70,26 @@
         route = parse(json.dumps(CONFIG).encode()).find_route(host, path)
         self.assertEqual(route.name if route else None, expected)
 
+    @params(
+        ("a.example:8080", "/s/x", "search"),
+        ("a.example:8080", "/s/deep/x", "ported"),  # its authority has the port
+        ("a.example:81", "/s/deep/x", "deep"),
+        ("a.example", "/s/deep/x", "deep"),
+    )
+    def test_authority_with_a_port(self, host: str, path: str, expected: str) -> None:
+        """Guards against routes that are never found, as the port was cut off Host only."""
+        document = copy.deepcopy(CONFIG)
+        document["Routes"]["ported"] = {**CONFIG["Routes"]["deep"], "Authority": "A.example:8080"}
+        route = parse(json.dumps(document).encode()).find_route(host, path)
+        self.assertEqual(route.name if route else None, expected)
+
+    @params((-1, 0.0), (-0.5, 0.0), (3, 3.0))
+    def test_priority_below_the_highest(self, priority: float, expected: float) -> None:
+        """Guards against a priority that is acknowledged, but can't be sent to another sidecar."""
+        configuration = parse(config_with("Routes.deep.Priority", priority))
+        self.assertEqual(configuration.routes["deep"].priority, expected)
+        ForwardRequest(priority=int(configuration.routes["deep"].priority))
+
     @params(
         ("Routes.deep.Target", "three", "Routes.deep.Target"),
         ("Routes.deep.Target", None, "Routes.deep"),
--- a/zinclever/mesh/configuration/document.py
+++ b/zinclever/mesh/configuration/document.py
@@ -18,6 +18,7 @@
 
 MAX_TEXT_BYTES = 16 << 20
 MAX_INTEGER = 2**53
+HIGHEST_PRIORITY = 0.0
 
 IDEMPOTENT, NON_IDEMPOTENT = "idempotent", "non_idempotent"
 
@@ -92,7 +93,7 @@
 
     name: str
     host: str
-    """In lower case."""
+    """The authority in lower case, with its port if it has one."""
     prefix: str
     is_idempotent: bool
     """Whether its requests are idempotent and may be executed more than once."""
@@ -101,7 +102,7 @@
     latency_target: float
     """Seconds within which a response has its full value."""
     priority: float
-    """0 is the highest priority."""
+    """From 0, the highest priority; a lower value of the configuration counts as 0."""
     max_attempts: int
     """Maximum number of endpoints that one request is sent to."""
     targets: tuple[tuple[str, float], ...]
@@ -125,7 +126,7 @@
     routes: dict[str, Route]
     services: dict[str, Service]
     routes_by_host: dict[str, list[Route]] = field(default_factory=dict)
-    """The routes of each host (in lower case), longest prefix first."""
+    """The routes of each authority (in lower case), longest prefix first."""
     max_header_bytes: float = float(DEFAULT_MAX_HEADER_BYTES)
     max_body_bytes: float = float(DEFAULT_MAX_BODY_BYTES)
     header_timeout: float = float(DEFAULT_HEADER_TIMEOUT)
@@ -134,10 +135,17 @@
     """Seconds after which an idle client connection is closed."""
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route of the host with the longest prefix that matches the path, or None."""
-        for route in self.routes_by_host.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
+        """Return the route with the longest prefix that matches the path, or None.
+
+        Args:
+            host: The ``Host`` header in lower case. Routes whose authority has its port take precedence over those
+                whose authority has none.
+            path: The path of the request, without its query.
+        """
+        for authority in dict.fromkeys((host, host.partition(":")[0])):
+            for route in self.routes_by_host.get(authority, ()):
+                if path.startswith(route.prefix):
+                    return route
         return None
 
 
@@ -273,7 +281,7 @@
         is_idempotent=raw["RouteClass"] == IDEMPOTENT,
         deadline=deadline,
         latency_target=float(raw.get("TargetLatencyS", 0.0)) or deadline,
-        priority=float(raw.get("Priority", 0)),
+        priority=max(HIGHEST_PRIORITY, float(raw.get("Priority", HIGHEST_PRIORITY))),
         max_attempts=int(raw.get("MaxAttempts", 1)),
         targets=tuple((target, weight / total) for target, weight in weights if weight > 0),
     )
--- a/zinclever/mesh/dataplane/egress.py
+++ b/zinclever/mesh/dataplane/egress.py
@@ -112,7 +112,7 @@
         configuration = self.active.configuration
         if configuration is None:
             return already_answered(number, NO_CONFIGURATION)
-        host = request_headers.host.decode("latin-1").lower().partition(":")[0]
+        host = request_headers.host.decode("latin-1").lower()
         route = configuration.find_route(host, target.partition("?")[0])
         if route is None:
             self.counts["unknown"] += 1
