--- a/tests/mesh/test_consensus.py
+++ b/tests/mesh/test_consensus.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 
 from mesh.cases import params
 from zinclever.mesh.consensus import messages
 from zinclever.mesh.consensus.messages import ReplicaRole
-from zinclever.mesh.consensus.quorum import Learner, commit_quorum, majority, next_voters
+from zinclever.mesh.consensus.quorum import VOTER_LOST_TIMEOUT, Learner, commit_quorum, majority, next_voters
 from zinclever.mesh.model.members import World
 from zinclever.mesh.transport.mesh_pb2 import ConsensusMessage, LogEntry, Voter
 
@@ -38,6 +39,30 @@
         self.assertEqual(len(world.newest().voters), 3)
         self.assertEqual(len(world.leaders()), 1)
 
+    @params(*itertools.product(range(3), (0.0, 0.01, 0.02, 0.03, 0.05, 0.1, 0.3), (False, True), range(3)))
+    def test_a_member_that_is_started_again_is_no_longer_told_to_bootstrap(
+        self, member: int, killed_at: float, is_wiped: bool, seed: int
+    ) -> None:
+        """Guards against review/6: a cluster that is never bootstrapped, as a process was killed at the first start."""
+        world, victim = World(seed), f"10.0.0.{member}"
+        world.loss = 0.05 * seed
+        world.run(killed_at)
+        if is_wiped:  # or killed before its first write
+            world.wipe(victim)
+        else:
+            world.kill(victim)
+            world.machines[victim].bootstrap = False
+        world.run(0.3)
+        world.start(victim)
+        world.run(8.0)
+        self.assertEqual(len(world.leaders()), 1)
+        (leader,) = world.leaders()
+        world.put(leader, 0, 5)
+        world.run(1.0)
+        self.assertEqual(set(world.acked), {5})
+        world.run(VOTER_LOST_TIMEOUT)  # until a lost disk is replaced by the one that came after it
+        self.assertEqual({v.disk for v in world.newest().voters}, {m.disk.name for m in world.machines.values()})
+
     def test_changed_seed_list_does_not_bootstrap_a_second_cluster(self) -> None:
         world = started_cluster()
         world.founders = [("10.0.0.7", 1), ("10.0.0.8", 1), ("10.0.0.0", 1)]
--- a/zinclever/mesh/consensus/replica.py
+++ b/zinclever/mesh/consensus/replica.py
@@ -22,7 +22,16 @@
 from .messages import ChangeCall, MessageKind, ReplicaRole, Reply, Vote, VotersChanged
 from .quorum import VoterChange, changes_voters, digest, disk_ids, has_majority
 from .replica_state import ReportedCommit
-from .timing import ELECTION_ROUND, ELECTION_TIMEOUT, HEARTBEAT_INTERVAL, QUORUM_TIMEOUT, RESEND_AFTER, STALL_THRESHOLD
+from .timing import (
+    BOOTSTRAP_STAGGER,
+    BOOTSTRAP_TIMEOUT,
+    ELECTION_ROUND,
+    ELECTION_TIMEOUT,
+    HEARTBEAT_INTERVAL,
+    QUORUM_TIMEOUT,
+    RESEND_AFTER,
+    STALL_THRESHOLD,
+)
 
 
 class Replica(Election, LeaderCalls):
@@ -92,10 +101,20 @@
         """Finish the proposal if it is committed by now, or resend it."""
         if self.is_committed(now, entry):  # the disks that count depend on which replicas are leaving or reachable
             self.finish_proposal(now, entry)
+        elif self.is_bootstrap_stuck(now, entry):
+            self.start_election(now)
         elif now - self.proposed_at > RESEND_AFTER:
             self.proposed_at = now
             self.send_appends(entry, self.acknowledged_by)
 
+    def is_bootstrap_stuck(self, now: float, entry: LogEntry) -> bool:
+        """Whether the first entry is on most disks, and another one was probably lost before it held the entry.
+
+        In a later term, the entry needs only a commit quorum.
+        """
+        is_overdue = now - self.role_since > BOOTSTRAP_TIMEOUT
+        return is_overdue and self.is_bootstrap_entry(entry) and has_majority(entry.voters, self.acknowledged_by)
+
     def propose_next_entry(self, now: float) -> None:
         """Propose the next entry: a change of the voter set, a client's change, or the completion of a voter change."""
         is_settled = not changes_voters(self.committed)
@@ -137,7 +156,7 @@
             index=self.committed.index,
             digest=self.committed_digest,
             voter=self.own_voter,
-            bootstrap=self.bootstrap and not self.voters(),
+            bootstrap=not self.voters(),
         )
 
     def on_heartbeat(self, now: float, message: ConsensusMessage) -> None:
@@ -298,24 +317,29 @@
     # --- bootstrap ---
 
     def bootstrap_cluster(self, now: float) -> None:
-        """Announce this replica and, if it is the first of the initial members, propose the first voter set.
+        """Announce this replica and, if it is one of the initial members, propose the first voter set.
 
-        It proposes once all initial members have sent a heartbeat and none of them knows of an existing cluster.
+        It proposes once it hears all initial members and none of them knows of a cluster: the first of them in the
+        order of their addresses at once, the next one a little later. A member that was started again since is not
+        told to bootstrap. It takes part, but doesn't propose. If a cluster existed, more disks than tolerated
+        would have to be lost until no initial member holds an entry, and this replica's disk is not among them.
         """
         own_address = (self.own_voter.ip, self.own_voter.port)
         if now - self.heartbeat_sent_at < HEARTBEAT_INTERVAL / 2:
             for ip, port in dict.fromkeys([*self.bootstrap_addresses, *self.known_addresses]):
                 if (ip, port) != own_address:
                     self.send(Voter(ip=ip, port=port), self.heartbeat())
-        if not self.bootstrap or self.voters() or not self.bootstrap_addresses:
+        if not self.bootstrap or self.voters() or own_address not in self.bootstrap_addresses:
             return
-        if self.bootstrap_addresses[0] != own_address:
+        others = self.members_without_cluster(now)
+        if len(others) + 1 < len(self.bootstrap_addresses):
+            self.bootstrap_possible_since = math.inf
             return
-        others = [address for address in self.bootstrap_addresses if address != own_address]
-        heartbeats = [self.latest_heartbeats.get(address) for address in others]
-        if not all(h is not None and h.bootstrap for h in heartbeats):
+        self.bootstrap_possible_since = min(self.bootstrap_possible_since, now)
+        delay = BOOTSTRAP_STAGGER * self.bootstrap_addresses.index(own_address)
+        if now - self.bootstrap_possible_since < delay:
             return
-        voters = [self.own_voter, *(h.voter for h in heartbeats if h is not None)]
+        voters = sorted([self.own_voter, *others], key=lambda voter: (voter.ip, voter.port))
         self.change_role(ReplicaRole.LEADER, now)
         self.term = 1
         self.vote = Vote(1, self.own_voter.disk)
@@ -323,6 +347,13 @@
             self.last_contact[voter.disk] = now
         self.propose(now, LogEntry(term=1, index=1, voters=voters, founding_size=len(voters)))
 
+    def members_without_cluster(self, now: float) -> list[Voter]:
+        """The other initial members that this replica hears and that know of no cluster."""
+        own_address = (self.own_voter.ip, self.own_voter.port)
+        heartbeats = [self.latest_heartbeats.get(a) for a in self.bootstrap_addresses if a != own_address]
+        active = self.recently_active(ELECTION_TIMEOUT, now)
+        return [h.voter for h in heartbeats if h is not None and h.bootstrap and h.disk in active]
+
     # --- received messages ---
 
     def receive(self, now: float, message: ConsensusMessage) -> None:
--- a/zinclever/mesh/consensus/replica_state.py
+++ b/zinclever/mesh/consensus/replica_state.py
@@ -72,6 +72,8 @@
         self.leader = ""
         """Disk ID of the leader; empty if unknown."""
         self.leader_last_contact = -math.inf
+        self.bootstrap_possible_since = math.inf
+        """When this replica began to hear all initial members, none of which knew of a cluster."""
         self.last_contact: dict[str, float] = {}
         self.reported: dict[str, ReportedCommit] = {}
         self.latest_heartbeats: dict[tuple[str, int], ConsensusMessage] = {}
--- a/zinclever/mesh/consensus/replication.py
+++ b/zinclever/mesh/consensus/replication.py
@@ -60,10 +60,10 @@
         """Whether enough disks hold a proposed entry.
 
         It needs a commit quorum of the voters after it, and a majority of the voters before it, which intersects each
-        of their quorums. The first entry of the log must be on all disks.
+        of their quorums. The first entry of the log must be on all disks, unless a later leader proposes it again.
         """
-        is_bootstrap_entry = entry.index == 1 and not self.committed.index and entry.term == 1
-        tolerated_failures = len(entry.voters) - 1 if is_bootstrap_entry else self.tolerated_failures
+        needs_all = self.is_bootstrap_entry(entry)
+        tolerated_failures = len(entry.voters) - 1 if needs_all else self.tolerated_failures
         before = entry.previous_voters if entry.index > self.committed.index else []
         if before and not has_majority(before, self.acknowledged_by):
             return False
@@ -71,6 +71,10 @@
         counted = self.voter_changes.counted_holders(entry.voters, self.acknowledged_by, live, tolerated_failures)
         return has_commit_quorum(entry.voters, counted, tolerated_failures)
 
+    def is_bootstrap_entry(self, entry: LogEntry) -> bool:
+        """Whether an entry is the first one of the log, as its first leader proposes it."""
+        return entry.index == 1 and not self.committed.index and entry.term == 1
+
     # --- followers and learners ---
 
     def on_append(self, now: float, message: ConsensusMessage) -> None:
--- a/zinclever/mesh/consensus/timing.py
+++ b/zinclever/mesh/consensus/timing.py
@@ -10,4 +10,6 @@
 QUORUM_TIMEOUT = 0.9  # without contact to a majority, until the leader steps down
 ELECTION_ROUND = 0.5  # until a candidate without a majority gives up its term
 RESEND_AFTER = 0.15  # until a proposal is resent to voters that have not acknowledged it
+BOOTSTRAP_STAGGER = 1.0  # until the next initial member proposes the first voter set, if those before it don't
+BOOTSTRAP_TIMEOUT = 2.0  # from the proposal of the first voter set, until it is proposed again in a higher term
 STALL_THRESHOLD = 0.3  # gap between two ticks that is treated as a stall of this process
